Serve the users' platform along a thin path

One program on every host serves callers, the directory and control. It reads the store by staggered reads without agreement and tells the others by datagrams; calls are placed by a load table that all hosts share.

--- a/src/burdockledge/cli/_app.py
+++ b/src/burdockledge/cli/_app.py
@@ -51,16 +51,16 @@
 
 
 def _find(arguments: tuple[str, ...]) -> Command[Any] | None:
-    for command in COMMANDS:
-        if arguments[: len(command.words)] == command.words:
-            return command
+    for entry in COMMANDS:
+        if arguments[: len(entry.words)] == entry.words:
+            return entry.load()
     return None
 
 
 def _overview() -> str:
     rows = (
         f'  {" ".join(command.words):<18}{command.summary}'
-        for command in COMMANDS
+        for command in (entry.load() for entry in COMMANDS)
     )
     return '\n'.join(
         (
--- /dev/null
+++ b/src/burdockledge/cli/_host.py
@@ -0,0 +1,59 @@
+"""``burdockledge host``: run an entry host that forwards calls."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from pydantic import Field
+
+from burdockledge.cli._command import (
+    Command,
+    ExitCode,
+    print_error,
+    run_async,
+)
+from burdockledge.host import serve_host
+from burdockledge.peers import PeerKeys, PeerKeysError
+from burdockledge.settings import CommaList, CommandSettings
+from burdockledge.telemetry import configure_logs
+
+
+class HostSettings(CommandSettings):
+    """Settings of ``burdockledge host``."""
+
+    settings_file: Path = Field(
+        description="the platform's settings file of this host",
+    )
+    peer_keys: CommaList = Field(
+        description='shared keys between entry hosts; the first signs',
+    )
+    log_level: str = Field(
+        default='info',
+        pattern='^(debug|info|warning|error)$',
+        description='least level logged: debug, info, warning or error',
+    )
+
+
+class Host(Command[HostSettings]):
+    """Run an entry host until SIGTERM, then finish what is in flight."""
+
+    words = ('host',)
+    summary = "run an entry host on the users' platform"
+    settings_model = HostSettings
+
+    def run(self, settings: HostSettings) -> ExitCode:
+        """Serve until the planned stop is done."""
+        configure_logs(settings.log_level, '')
+        try:
+            keys = PeerKeys(settings.peer_keys, None)
+            return run_async(self._serve(settings.settings_file, keys))
+        except (OSError, PeerKeysError) as error:
+            print_error(f'the host can not start: {error}')
+            return ExitCode.failed
+
+    async def _serve(self, path: Path, keys: PeerKeys) -> ExitCode:
+        is_usable = await serve_host(path, keys)
+        return ExitCode.ok if is_usable else ExitCode.usage
+
+
+__all__ = ('Host',)
--- a/src/burdockledge/cli/_registry.py
+++ b/src/burdockledge/cli/_registry.py
@@ -2,47 +2,53 @@
 
 from __future__ import annotations
 
+import importlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from burdockledge.cli._bench import BenchCapacity, BenchRelay
-from burdockledge.cli._bench_policy import BenchPolicy, BenchPolicyPage
-from burdockledge.cli._config import ConfigHistory, ConfigPatch, ConfigShow
-from burdockledge.cli._drain import Drain
-from burdockledge.cli._load import Load
-from burdockledge.cli._serve import Serve
-from burdockledge.cli._settings import Settings
-from burdockledge.cli._stand_in import (
-    StandInEngine,
-    StandInHosts,
-    StandInLog,
-    StandInService,
-)
-from burdockledge.cli._status import Status
-from burdockledge.cli._timeline import Timeline
-from burdockledge.cli._version import Version
-
 if TYPE_CHECKING:
     from burdockledge.cli._command import Command
 
-COMMANDS: tuple[Command[Any], ...] = (
-    Serve(),
-    ConfigShow(),
-    ConfigPatch(),
-    ConfigHistory(),
-    Status(),
-    Drain(),
-    Timeline(),
-    Load(),
-    BenchRelay(),
-    BenchCapacity(),
-    BenchPolicy(),
-    BenchPolicyPage(),
-    StandInEngine(),
-    StandInService(),
-    StandInLog(),
-    StandInHosts(),
-    Settings(),
-    Version(),
+
+@dataclass(frozen=True, slots=True)
+class CommandEntry:
+    """A subcommand whose module is imported only when it is used."""
+
+    words: tuple[str, ...]
+    module: str
+    kind: str
+
+    def load(self) -> Command[Any]:
+        """Import the module and return the command."""
+        module = importlib.import_module(f'burdockledge.cli.{self.module}')
+        command: Command[Any] = getattr(module, self.kind)()
+        return command
+
+
+def _entry(words: str, module: str, kind: str) -> CommandEntry:
+    return CommandEntry(tuple(words.split()), module, kind)
+
+
+COMMANDS: tuple[CommandEntry, ...] = (
+    _entry('serve', '_serve', 'Serve'),
+    _entry('host', '_host', 'Host'),
+    _entry('config show', '_config', 'ConfigShow'),
+    _entry('config patch', '_config', 'ConfigPatch'),
+    _entry('config history', '_config', 'ConfigHistory'),
+    _entry('status', '_status', 'Status'),
+    _entry('drain', '_drain', 'Drain'),
+    _entry('timeline', '_timeline', 'Timeline'),
+    _entry('load', '_load', 'Load'),
+    _entry('bench relay', '_bench', 'BenchRelay'),
+    _entry('bench capacity', '_bench', 'BenchCapacity'),
+    _entry('bench policy', '_bench_policy', 'BenchPolicy'),
+    _entry('bench policy-page', '_bench_policy', 'BenchPolicyPage'),
+    _entry('standin engine', '_stand_in', 'StandInEngine'),
+    _entry('standin service', '_stand_in', 'StandInService'),
+    _entry('standin log', '_stand_in', 'StandInLog'),
+    _entry('standin hosts', '_stand_in', 'StandInHosts'),
+    _entry('settings', '_settings', 'Settings'),
+    _entry('version', '_version', 'Version'),
 )
 
-__all__ = ('COMMANDS',)
+__all__ = ('COMMANDS', 'CommandEntry')
--- a/src/burdockledge/clock/_clock.py
+++ b/src/burdockledge/clock/_clock.py
@@ -22,8 +22,8 @@
     """The clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Return the monotonic clock in seconds."""
-        return time.monotonic()
+        """Return seconds since the start of the host, its sleeps included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_ms(self) -> int:
         """Return the wall clock in milliseconds."""
--- /dev/null
+++ b/src/burdockledge/host.py
@@ -0,0 +1,275 @@
+"""The composition root of an entry host that forwards calls."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from random import Random, SystemRandom
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+from result import Err
+
+from burdockledge.clock import SystemClock
+from burdockledge.directory import Directory
+from burdockledge.kernel import Kernel
+from burdockledge.membership import Membership, UdpPort
+from burdockledge.peers import PeerKeys
+from burdockledge.platform import (
+    Front,
+    HttpServerClient,
+    PlatformDecoder,
+    StoreClient,
+    load_host_settings,
+)
+from burdockledge.registry import ServerRegistry
+from burdockledge.relay import STREAMS, BudgetTerms, HostKnowledge, Relay
+from burdockledge.replication import Exchange, ReadSchedule, StoreReader
+from burdockledge.telemetry import Metrics, TimeLine, make_logger
+from burdockledge.wire import MemberStatus, MemberUpdate
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from burdockledge.relay import RouteIndex
+    from burdockledge.settings import RelayHostSettings
+
+_log = make_logger('host')
+
+# Part of the bounds on configuration and draining that one read may take.
+_READ_PART: Final = 0.35
+# A stopping host stays until callers have asked the directory again.
+_LEAST_STOP_SECONDS: Final = 3.0
+# Time to close what is open before the platform kills the process.
+_KILL_MARGIN_SECONDS: Final = 0.6
+_IDLE_SECONDS: Final = 0.5
+_POLL_SECONDS: Final = 0.1
+_TIME_LINE_EVENTS: Final = 1000
+_SETTINGS_POLL_SECONDS: Final = 1.0
+
+
+class RelayHost:
+    """The services of one entry host, wired and ready to start."""
+
+    def __init__(
+        self,
+        settings: RelayHostSettings,
+        keys: PeerKeys,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Wire every part."""
+        clock = SystemClock()
+        random = Random(SystemRandom().getrandbits(64))
+        self.settings = settings
+        self.metrics = Metrics()
+        self._clock = clock
+        self.client = HttpServerClient()
+        self.membership = Membership(
+            MemberUpdate(
+                host=settings.host,
+                peer_address=settings.peer_address,
+                caller_url='',
+                data_centre=settings.data_centre,
+                boot=clock.wall_ms(),
+                incarnation=0,
+                status=MemberStatus.alive,
+            ),
+            settings.seeds,
+            UdpPort(settings.peer_address),
+            keys,
+            clock,
+            random,
+            TimeLine(settings.host, clock, _TIME_LINE_EVENTS),
+        )
+        self.exchange = Exchange(
+            settings.host,
+            STREAMS,
+            UdpPort(_with_port(settings.peer_address, settings.exchange_port)),
+            keys,
+            clock,
+            random,
+        )
+        self.reader = StoreReader(
+            settings.host,
+            settings.peer_address,
+            STREAMS,
+            StoreClient(settings.store_address, session, clock),
+            self.exchange,
+            ReadSchedule(_read_period(settings)),
+            clock,
+            random,
+        )
+        self.knowledge = HostKnowledge(
+            settings.host,
+            settings.data_centre,
+            PlatformDecoder(),
+            ServerRegistry(),
+            self.exchange,
+            BudgetTerms(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_seconds,
+            ),
+            clock,
+            random,
+        )
+        self.relay = Relay(
+            self.knowledge, self.client, clock, random, self.metrics
+        )
+        self.front = Front(
+            settings,
+            self.relay,
+            Directory(self.membership.table, random),
+            self.metrics,
+        )
+        self._connect()
+        self.kernel = Kernel()
+        for service in (
+            self.front,
+            self.membership,
+            self.exchange,
+            self.reader,
+        ):
+            self.kernel.register(service)
+
+    async def start(self) -> None:
+        """Start every service; callers are named this host once it is ready."""
+        await self.kernel.start()
+
+    async def drain(self) -> None:
+        """Tell the others, and finish what callers still send."""
+        self.membership.leave()
+        self.front.is_closing = True
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        last = self.settings.grace_seconds - _KILL_MARGIN_SECONDS
+        least = min(_LEAST_STOP_SECONDS, last)
+        busy_at = started_at
+        while loop.time() - started_at < last:
+            if self.relay.in_flight:
+                busy_at = loop.time()
+            is_old = loop.time() - started_at >= least
+            if is_old and loop.time() - busy_at >= _IDLE_SECONDS:
+                return
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop every service."""
+        await self.kernel.stop()
+        await self.client.close()
+
+    def _connect(self) -> None:
+        """Let the parts find each other's beliefs."""
+        self.exchange.addresses = self._peer_addresses
+        self.exchange.first_addresses = self._seed_addresses
+        self.reader.hosts = self._host_names
+        self.reader.on_addresses = self.membership.add_seeds
+        self.knowledge.host_count = self._host_count
+        self.knowledge.on_routes = self._use_routes
+
+    def _peer_addresses(self) -> list[str]:
+        own = self.settings.host
+        return [
+            self._exchange_address(update.peer_address)
+            for update in self.membership.table.probe_targets()
+            if update.host != own
+        ]
+
+    def _seed_addresses(self) -> list[str]:
+        return [
+            self._exchange_address(seed)
+            for seed in self.settings.seeds
+            if seed != self.settings.peer_address
+        ]
+
+    def _exchange_address(self, peer_address: str) -> str:
+        return _with_port(peer_address, self.settings.exchange_port)
+
+    def _host_names(self) -> list[str]:
+        return [update.host for update in self.membership.table.usable()]
+
+    def _host_count(self) -> int:
+        return sum(1 for _ in self.membership.table.updates())
+
+    def _use_routes(self, routes: RouteIndex) -> None:
+        self.front.use_limits(routes.document.limits)
+        own = self.membership.own
+        if not own.caller_url and own.status == MemberStatus.alive:
+            self.membership.advertise(self.settings.caller_address)
+            _log.info('Ready.', version=routes.document.version)
+
+
+async def serve_host(path: Path, keys: PeerKeys) -> bool:
+    """
+    Run an entry host until it is told to stop.
+
+    :return: whether the settings could be used.
+    """
+    loaded = load_host_settings(path)
+    if isinstance(loaded, Err):
+        _log.error('Settings can not be used.', why=loaded.err_value)
+        return False
+    async with aiohttp.ClientSession() as session:
+        await _run(RelayHost(loaded.ok_value, keys, session), path)
+    return True
+
+
+async def _run(host: RelayHost, path: Path) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    reloading = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reloading.set)
+    await host.start()
+    _log.info('Started.', data_centre=host.settings.data_centre)
+    reloader = loop.create_task(_reload_forever(host, path, reloading))
+    await stopping.wait()
+    _log.info('Stopping.', in_flight=host.relay.in_flight)
+    await host.drain()
+    reloader.cancel()
+    await host.stop()
+    _log.info('Stopped.', in_flight=host.relay.in_flight)
+
+
+async def _reload_forever(
+    host: RelayHost, path: Path, asked: asyncio.Event
+) -> None:
+    """Read the settings again on SIGHUP or when their file changed."""
+    seen = _modified_ns(path)
+    while True:
+        try:
+            async with asyncio.timeout(_SETTINGS_POLL_SECONDS):
+                await asked.wait()
+        except TimeoutError:
+            if _modified_ns(path) == seen:
+                continue
+        asked.clear()
+        seen = _modified_ns(path)
+        loaded = load_host_settings(path)
+        if isinstance(loaded, Err):
+            _log.warning('Settings are not reloaded.', why=loaded.err_value)
+            continue
+        host.settings = loaded.ok_value
+        host.membership.add_seeds(loaded.ok_value.seeds)
+        _log.info('Settings are reloaded.', seeds=len(host.settings.seeds))
+
+
+def _modified_ns(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # A file that is being replaced is looked for again.
+        return 0
+
+
+def _read_period(settings: RelayHostSettings) -> float:
+    bound = min(settings.configuration_seconds, settings.drain_seconds)
+    return bound * _READ_PART
+
+
+def _with_port(address: str, port: int) -> str:
+    return f'{address.rpartition(":")[0]}:{port}'
+
+
+__all__ = ('RelayHost', 'serve_host')
--- a/src/burdockledge/membership/_service.py
+++ b/src/burdockledge/membership/_service.py
@@ -110,12 +110,15 @@
         self._seeds.update(addresses)
         self._seeds.discard(self.own.peer_address)
 
+    def advertise(self, caller_url: str) -> None:
+        """Tell the others where callers reach this host."""
+        self._table.advertise(caller_url, self._clock.monotonic())
+        self._tell_all()
+
     def leave(self) -> None:
         """Tell the others that this host is leaving."""
         self._table.leave(self._clock.monotonic())
-        for target in self._table.probe_targets():
-            self._send(target.peer_address, ProbeKind.ping)
-        self._notify()
+        self._tell_all()
 
     async def start(self) -> None:
         """Open the port and start to probe."""
@@ -127,6 +130,11 @@
         await super().stop()
         self._port.close()
 
+    def _tell_all(self) -> None:
+        for target in self._table.probe_targets():
+            self._send(target.peer_address, ProbeKind.ping)
+        self._notify()
+
     async def _probe_forever(self) -> None:
         while True:
             self.spawn(self._probe_next())
@@ -137,8 +145,12 @@
             self._notify()
 
     def _probe_one_seed(self) -> None:
-        known = {update.peer_address for update in self._table.updates()}
-        unknown = sorted(self._seeds - known)
+        # Hosts held dead are asked too: a cut between hosts may have healed.
+        reached = {
+            update.peer_address for update in self._table.probe_targets()
+        }
+        reached.add(self.own.peer_address)
+        unknown = sorted(self._seeds - reached)
         if unknown:
             self._send(self._random.choice(unknown), ProbeKind.ping)
 
@@ -216,7 +228,7 @@
                 kind=kind,
                 sequence=sequence,
                 sender=self.own,
-                updates=self._table.spread(self._random),
+                updates=self._updates_for(address),
                 configuration_offset=self.configuration_offset(),
                 target=target,
             ),
@@ -227,6 +239,16 @@
         self.bytes_sent += len(proof) + len(encoded)
         return sequence
 
+    def _updates_for(self, address: str) -> list[MemberUpdate]:
+        """Return updates to spread, and what a doubted peer may refute."""
+        updates = self._table.spread(self._random)
+        for update in self._table.updates():
+            if update.peer_address != address or update in updates:
+                continue
+            if update.status in {MemberStatus.suspect, MemberStatus.dead}:
+                updates.append(update)
+        return updates
+
     def _receive(self, datagram: bytes, source: str) -> None:
         proof, encoded = datagram[:PROOF_BYTES], datagram[PROOF_BYTES:]
         if not self._keys.verify(proof, _DATAGRAM_TAG, encoded):
@@ -243,6 +265,7 @@
 
     def _fold(self, probe: Probe) -> None:
         now = self._clock.monotonic()
+        self._seeds.add(probe.sender.peer_address)
         for update in (probe.sender, *probe.updates):
             self._table.apply(update, now)
         if self.on_configuration_offset is not None:
--- a/src/burdockledge/membership/_table.py
+++ b/src/burdockledge/membership/_table.py
@@ -85,6 +85,17 @@
             now,
         )
 
+    def advertise(self, caller_url: str, now: float) -> None:
+        """Tell callers' address of the own host, empty while not ready."""
+        self._set_own(
+            replace(
+                self._own,
+                caller_url=caller_url,
+                incarnation=self._own.incarnation + 1,
+            ),
+            now,
+        )
+
     def apply(self, update: MemberUpdate, now: float) -> bool:
         """
         Fold an update of a peer.
--- a/src/burdockledge/placement/__init__.py
+++ b/src/burdockledge/placement/__init__.py
@@ -11,7 +11,7 @@
 from burdockledge.placement._budget import RatioBudget
 from burdockledge.placement._health import HealthBook
 from burdockledge.placement._leads import Leads
-from burdockledge.placement._rendezvous import lead_of, rank
+from burdockledge.placement._rendezvous import lead_of
 from burdockledge.placement._servers import ServerBook
 
 __all__ = (
@@ -24,5 +24,4 @@
     'SlotBroker',
     'SlotRequest',
     'lead_of',
-    'rank',
 )
--- a/src/burdockledge/placement/_rendezvous.py
+++ b/src/burdockledge/placement/_rendezvous.py
@@ -1,32 +1,16 @@
-"""
-Rendezvous hashing: every host picks the same lead without agreement.
-
-Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
-Rates", 1998.
-"""
+"""Picks the host that leads a backend server, without agreement."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-import xxhash
+from burdockledge.hashing import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from burdockledge.configuration import BackendServer
     from burdockledge.wire import MemberUpdate
 
 
-def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Sort names by their weight for a key, the heaviest first."""
-    return sorted(
-        names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()),
-        reverse=True,
-    )
-
-
 def lead_of(
     server_name: str,
     server: BackendServer,
@@ -46,4 +30,4 @@
     return rank(server_name, hosts)[0] if hosts else None
 
 
-__all__ = ('lead_of', 'rank')
+__all__ = ('lead_of',)
--- /dev/null
+++ b/src/burdockledge/platform/__init__.py
@@ -0,0 +1,17 @@
+"""The adapter to the users' platform: names, formats and calls."""
+
+from __future__ import annotations
+
+from burdockledge.platform._documents import PlatformDecoder
+from burdockledge.platform._front import Front
+from burdockledge.platform._servers import HttpServerClient
+from burdockledge.platform._settings import load_host_settings
+from burdockledge.platform._store import StoreClient
+
+__all__ = (
+    'Front',
+    'HttpServerClient',
+    'PlatformDecoder',
+    'StoreClient',
+    'load_host_settings',
+)
--- /dev/null
+++ b/src/burdockledge/platform/_front.py
@@ -0,0 +1,229 @@
+"""Serves callers, the directory, the readiness check and the metrics."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from burdockledge.kernel import Service
+from burdockledge.platform import _names as names
+from burdockledge.platform._calls import BadCallError, decode_call
+from burdockledge.relay import CallerLimits, CallerPort
+from burdockledge.telemetry import make_logger
+
+if TYPE_CHECKING:
+    from aiohttp.web_request import BaseRequest
+
+    from burdockledge.directory import Directory
+    from burdockledge.relay import Headers, Relay
+    from burdockledge.settings import RelayHostSettings
+    from burdockledge.telemetry import Metrics
+
+_log = make_logger('front')
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_UNAVAILABLE: Final = 503
+_BACKLOG: Final = 512
+# Reading what a refused caller still sends lets it see the answer.
+_LINGER_SECONDS: Final = 1.0
+
+
+class _LimitedServer(web.Server):
+    """A server whose limits follow the configuration."""
+
+    limits = CallerLimits()
+
+    def __call__(self) -> RequestHandler[BaseRequest]:
+        """Return the protocol of a new connection."""
+        return RequestHandler(
+            self,
+            loop=self._loop,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=self.limits.idle_seconds,
+            lingering_time=_LINGER_SECONDS,
+            max_line_size=self.limits.header_bytes,
+            max_field_size=self.limits.header_bytes,
+        )
+
+
+class _HttpCaller(CallerPort):
+    """Answers a caller over its connection."""
+
+    def __init__(self, request: BaseRequest, is_closing: bool) -> None:
+        """Answer one request; the last one where the host is closing."""
+        self._request = request
+        self._is_closing = is_closing
+        self.response: web.StreamResponse | None = None
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=status, body=body)
+        self._add_headers(response, headers)
+        self.response = response
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def begin(
+        self, status: int, headers: Headers, body_bytes: int | None
+    ) -> None:
+        """Send the head of an answer whose body follows."""
+        response = web.StreamResponse(status=status)
+        self._add_headers(response, headers)
+        if body_bytes is not None:
+            response.content_length = body_bytes
+        self.response = response
+        await self._prepare(response)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        if self.response is not None:
+            await self.response.write(chunk)
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        if self.response is not None:
+            await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection so that the answer can not look complete."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _add_headers(
+        self, response: web.StreamResponse, headers: Headers
+    ) -> None:
+        for name, text in headers:
+            response.headers.add(name, text)
+        request_id = self._request.headers.get(names.REQUEST_ID)
+        if request_id is not None:
+            response.headers.setdefault(names.REQUEST_ID, request_id)
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self._is_closing:
+            response.force_close()
+        await response.prepare(self._request)
+
+
+class Front(Service):
+    """The listeners of one entry host."""
+
+    name = 'front'
+
+    def __init__(
+        self,
+        settings: RelayHostSettings,
+        relay: Relay,
+        directory: Directory,
+        metrics: Metrics,
+    ) -> None:
+        """Serve by a relay and a directory."""
+        self._settings = settings
+        self._relay = relay
+        self._directory = directory
+        self._metrics = metrics
+        self._runners: list[web.ServerRunner] = []
+        self._callers: _LimitedServer | None = None
+        self.limits = CallerLimits()
+        self.is_closing = False
+
+    def use_limits(self, limits: CallerLimits) -> None:
+        """Apply limits to new connections."""
+        self.limits = limits
+        if self._callers is not None:
+            self._callers.limits = limits
+
+    async def start(self) -> None:
+        """Listen on every address of the settings."""
+        settings = self._settings
+        self._callers = _LimitedServer(
+            self._handle_call, handler_cancellation=True
+        )
+        self._callers.limits = self.limits
+        await self._listen(self._callers, settings.caller_address)
+        for address, handler in (
+            (settings.directory_address, self._handle_directory),
+            (settings.readiness_address, self._handle_ready),
+            (settings.control_address, self._handle_control),
+        ):
+            await self._listen(
+                web.Server(handler, access_log=None), address
+            )
+
+    async def stop(self) -> None:
+        """Close every listener and connection."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, server: web.Server, address: str) -> None:
+        runner = web.ServerRunner(server, shutdown_timeout=0)
+        await runner.setup()
+        self._runners.append(runner)
+        ip, _, port = address.rpartition(':')
+        site = web.TCPSite(runner, ip, int(port), backlog=_BACKLOG)
+        await site.start()
+
+    async def _handle_call(self, request: BaseRequest) -> web.StreamResponse:
+        caller = _HttpCaller(request, self.is_closing)
+        try:
+            call = await decode_call(request, self.limits)
+        except BadCallError as error:
+            _log.info(
+                'Bad request.',
+                request=request.headers.get(names.REQUEST_ID),
+                status=error.status,
+                why=error.why,
+            )
+            self._metrics.count('bad_requests', status=str(error.status))
+            refusal = web.Response(status=error.status, text=f'{error.why}\n')
+            refusal.force_close()
+            return refusal
+        await self._relay.handle(call, caller)
+        return caller.response or _empty(_UNAVAILABLE)
+
+    async def _handle_directory(
+        self, request: BaseRequest
+    ) -> web.StreamResponse:
+        if request.path != names.DIRECTORY_PATH:
+            return _empty(_NOT_FOUND)
+        zone = request.rel_url.query.get('zone', '')
+        found = self._directory.addresses_near(zone)
+        if not found:
+            return _empty(_UNAVAILABLE)
+        return _json(
+            {
+                'addresses': found,
+                'ttl_s': self._settings.directory_seconds,
+            },
+        )
+
+    async def _handle_ready(self, request: BaseRequest) -> web.StreamResponse:
+        if request.path != names.READY_PATH:
+            return _empty(_NOT_FOUND)
+        return _empty(_OK if self._directory.is_own_ready else _UNAVAILABLE)
+
+    async def _handle_control(
+        self, request: BaseRequest
+    ) -> web.StreamResponse:
+        if request.path != names.METRICS_PATH:
+            return _empty(_NOT_FOUND)
+        return web.Response(text=self._metrics.render())
+
+
+def _empty(status: int) -> web.Response:
+    return web.Response(status=status)
+
+
+def _json(document: dict[str, Any]) -> web.Response:
+    return web.Response(
+        body=json.dumps(document).encode(),
+        content_type='application/json',
+    )
+
+
+__all__ = ('Front',)
--- /dev/null
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -0,0 +1,280 @@
+"""The beliefs of one entry host, kept by records and by notes of calls."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+from burdockledge.relay._budget import RetryBudget
+from burdockledge.relay._knowledge import Knowledge, Placed
+from burdockledge.relay._routes import RouteIndex
+from burdockledge.relay._types import Prompt, PromptPart
+from burdockledge.scheduling import (
+    CallResult,
+    CallStart,
+    Demand,
+    EvidenceBook,
+    LoadBook,
+    PlacementPolicy,
+)
+from burdockledge.telemetry import make_logger
+from burdockledge.wire import CallEnded, CallStarted, StreamEntry
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from burdockledge.clock import Clock
+    from burdockledge.registry import Registration, ServerRegistry
+    from burdockledge.relay._types import RoutingDocument
+    from burdockledge.replication import Exchange
+
+_log = make_logger('knowledge')
+
+CONFIGURATION_STREAM: Final = 'configuration'
+SERVERS_STREAM: Final = 'servers'
+STREAMS: Final = (CONFIGURATION_STREAM, SERVERS_STREAM)
+_CALL_BITS: Final = 62
+
+
+class RecordDecoder(ABC):
+    """Decodes the records of the streams into domain types."""
+
+    @abstractmethod
+    def routing(self, key: str, content: bytes) -> RoutingDocument | None:
+        """Return a version of the configuration, None for other records."""
+
+    @abstractmethod
+    def registration(self, key: str, content: bytes) -> Registration | None:
+        """Return what is registered, None if the record names no server."""
+
+
+class BudgetTerms:
+    """The terms of the retry budget of every service."""
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        """Allow ``ratio`` and ``slack`` repeats in a window of seconds."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+
+    def open(self) -> RetryBudget:
+        """Return the unused budget of one service."""
+        return RetryBudget(self._ratio, self._slack, self._window)
+
+
+class HostKnowledge(Knowledge):
+    """What this host believes, and how it tells the others of its calls."""
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        decoder: RecordDecoder,
+        registry: ServerRegistry,
+        exchange: Exchange,
+        terms: BudgetTerms,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        """Follow the streams of an exchange."""
+        self._host = host
+        self._data_centre = data_centre
+        self._decoder = decoder
+        self._registry = registry
+        self._exchange = exchange
+        self._terms = terms
+        self._clock = clock
+        self._random = random
+        self._loads = LoadBook()
+        self._evidence = EvidenceBook(host)
+        self._policy = PlacementPolicy(self._loads, self._evidence, random)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._routes: RouteIndex | None = None
+        self.host_count: Callable[[], int] = lambda: 1
+        self.on_routes: Callable[[RouteIndex], None] | None = None
+        exchange.on_change = self._fold
+        exchange.on_calls = self._fold_calls
+
+    def routes(self) -> RouteIndex | None:
+        """Return the routes in force, None before the first version."""
+        return self._routes
+
+    def place(
+        self,
+        service: str,
+        tier: int,
+        prompt: Prompt,
+        tried: frozenset[str],
+    ) -> Placed | None:
+        """Choose a server, and tell all hosts that it gets a call."""
+        now = self._clock.monotonic()
+        demand = Demand(service, tier, prompt, self._data_centre)
+        refs = self._registry.usable(service, now)
+        choice = self._policy.choose(refs, demand, tried, now)
+        if choice is None:
+            return None
+        call = self._random.getrandbits(_CALL_BITS)
+        server = choice.ref.key
+        self._loads.start(
+            CallStart(call, server, tier, choice.unread_tokens, prompt), now
+        )
+        self._exchange.announce_start(
+            CallStarted(
+                call,
+                server,
+                tier,
+                choice.unread_tokens,
+                [part.part for part in prompt.parts],
+                [part.tokens for part in prompt.parts],
+            ),
+        )
+        return Placed(
+            call,
+            choice.ref,
+            choice.expected_seconds,
+            choice.unread_tokens,
+            choice.running,
+        )
+
+    def heard(self, placed: Placed) -> None:
+        """Note that a server began to answer."""
+        self._evidence.proved(placed.ref.key, self._clock.monotonic())
+
+    def ended(self, placed: Placed, result: int) -> None:
+        """Note how a placed call ended, and tell the others."""
+        server = placed.ref.key
+        self._loads.end(server, placed.call)
+        self._note_result(server, result, self._host)
+        self._exchange.announce_end(CallEnded(placed.call, server, result))
+
+    def note_first(self, service: str) -> None:
+        """Count the first send of a call in the retry budget."""
+        self._budget(service).note_first(self._clock.monotonic())
+
+    def take_repeat(self, service: str) -> bool:
+        """Take a repeat from the retry budget."""
+        return self._budget(service).take(
+            self._clock.monotonic(), self.host_count()
+        )
+
+    def age_ms(self) -> int:
+        """Return the age of the configuration and the servers."""
+        now = self._clock.monotonic()
+        return max(
+            self._exchange.state(stream).age_ms(now) for stream in STREAMS
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._terms.open()
+            self._budgets[service] = budget
+        return budget
+
+    def _note_result(self, server: str, result: int, host: str) -> None:
+        now = self._clock.monotonic()
+        was_paused = self._evidence.is_paused(server, now)
+        self._evidence.note(server, CallResult(result), host, now)
+        if not was_paused and self._evidence.is_paused(server, now):
+            _log.warning('Server is paused.', server=server, witness=host)
+
+    def _fold(self, stream: str, changed: tuple[StreamEntry, ...]) -> None:
+        now = self._clock.monotonic()
+        if stream == SERVERS_STREAM:
+            fresh_at = self._exchange.state(stream).fresh_at
+            self._registry.note_fresh(now if fresh_at is None else fresh_at)
+        for entry in changed:
+            if stream == SERVERS_STREAM:
+                self._fold_server(entry, now)
+            elif entry.content is not None:
+                self._fold_routing(entry.key, entry.content)
+        if changed:
+            self._loads.keep(self._registry.all_refs(now))
+
+    def _fold_server(self, entry: StreamEntry, now: float) -> None:
+        found = None
+        if entry.content is not None:
+            found = self._decoder.registration(entry.key, entry.content)
+        if found is None:
+            if self._registry.remove(entry.key, now):
+                _log.info('Server is gone.', server=entry.key)
+            return
+        if not self._registry.register(found):
+            return
+        _log.info(
+            'Server is registered.',
+            server=entry.key,
+            service=found.ref.service,
+            state=found.state.value,
+            address=found.ref.address,
+            born_ms=found.ref.born_ms,
+        )
+        self._set_cache_size(found)
+
+    def _set_cache_size(self, found: Registration) -> None:
+        if self._routes is None:
+            return
+        shape = self._routes.document.services.get(found.ref.service)
+        if shape is not None and shape.engine is not None:
+            self._loads.configure(found.ref.key, shape.engine.cache_tokens)
+
+    def _fold_routing(self, key: str, content: bytes) -> None:
+        document = self._decoder.routing(key, content)
+        if document is None:
+            return
+        if self._routes is not None:
+            if document.version < self._routes.document.version:
+                _log.warning('Older version left out.', version=document.version)
+                return
+        self._routes = RouteIndex(document)
+        _log.info(
+            'Configuration in force.',
+            version=document.version,
+            routes=len(document.routes),
+            keys=len(document.teams_by_key),
+            age_ms=self._exchange.state(CONFIGURATION_STREAM).age_ms(
+                self._clock.monotonic()
+            ),
+        )
+        if self.on_routes is not None:
+            self.on_routes(self._routes)
+
+    def _fold_calls(
+        self,
+        host: str,
+        started: list[CallStarted],
+        ended: list[CallEnded],
+    ) -> None:
+        now = self._clock.monotonic()
+        for start in started:
+            parts = tuple(
+                PromptPart(part, tokens)
+                for part, tokens in zip(
+                    start.parts, start.part_tokens, strict=False
+                )
+            )
+            self._loads.start(
+                CallStart(
+                    start.call,
+                    start.server,
+                    start.tier,
+                    start.unread_tokens,
+                    Prompt(parts),
+                ),
+                now,
+            )
+        for end in ended:
+            self._loads.end(end.server, end.call)
+            if end.result in set(CallResult):
+                self._note_result(end.server, end.result, host)
+
+
+__all__ = (
+    'CONFIGURATION_STREAM',
+    'SERVERS_STREAM',
+    'STREAMS',
+    'BudgetTerms',
+    'HostKnowledge',
+    'RecordDecoder',
+)
--- /dev/null
+++ b/src/burdockledge/scheduling/_policy.py
@@ -0,0 +1,115 @@
+"""
+Chooses the backend server of a call; pure, without network or clock.
+
+A model call goes where its first token is expected first: prompt tokens
+still to be read there by calls of its tier or above, its own tokens that
+the server's cache does not hold, and the calls that share the batch.
+Source of weighing cache hits against load: Srivatsa et al., "Preble:
+Efficient Distributed Prompt Scheduling for LLM Serving", 2024.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from burdockledge.scheduling._load import PREFILL_TOKENS_PER_SECOND
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from random import Random
+
+    from burdockledge.relay import Prompt, ServerRef
+    from burdockledge.scheduling._evidence import EvidenceBook
+    from burdockledge.scheduling._load import LoadBook
+
+# What each call in the batch adds to a token step of all others, in seconds,
+# over the few steps up to a first token (engines of the users: 0.1 ms a step).
+_BATCH_SECONDS_A_CALL: Final = 0.0005
+# Reading a shared part again also takes cache room from others.
+_REREAD_WEIGHT: Final = 1.5
+# A call between data centres costs a round trip and priced bytes.
+_REMOTE_SECONDS: Final = 0.004
+# How long a call that fails is worth waiting elsewhere to avoid it.
+_FAILURE_SECONDS: Final = 1.0
+# Plain calls wait this long for each full turn of a server's slots.
+_TURN_SECONDS: Final = 0.05
+_TIE_SECONDS: Final = 0.0002
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a call asks of a server."""
+
+    service: str
+    tier: int
+    prompt: Prompt
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A chosen server and the figures that decided it."""
+
+    ref: ServerRef
+    expected_seconds: float
+    unread_tokens: int
+    running: int
+
+
+class PlacementPolicy:
+    """Weighs the servers of a service for one call."""
+
+    def __init__(
+        self, loads: LoadBook, evidence: EvidenceBook, random: Random
+    ) -> None:
+        """Decide by the loads and the evidence of this host."""
+        self._loads = loads
+        self._evidence = evidence
+        self._random = random
+
+    def choose(
+        self,
+        refs: list[ServerRef],
+        demand: Demand,
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
+        """
+        Return the best server, or None if there is none left to try.
+
+        Paused servers are used only where no other is left.
+        """
+        fresh = [ref for ref in refs if ref.key not in tried]
+        sound = [
+            ref for ref in fresh if not self._evidence.is_paused(ref.key, now)
+        ]
+        choices = [self._weigh(ref, demand, now) for ref in sound or fresh]
+        return min(
+            choices, key=lambda choice: choice.expected_seconds, default=None
+        )
+
+    def _weigh(self, ref: ServerRef, demand: Demand, now: float) -> Choice:
+        load = self._loads.of(ref.key)
+        running = load.running(now)
+        seconds = self._random.uniform(0, _TIE_SECONDS)
+        if ref.data_centre != demand.data_centre:
+            seconds += _REMOTE_SECONDS
+        seconds += _FAILURE_SECONDS * self._evidence.failure_share(ref.key, now)
+        unread = 0
+        if demand.prompt.parts:
+            unread = self._unread(ref, demand)
+            seconds += load.backlog_seconds(demand.tier, now)
+            seconds += _REREAD_WEIGHT * unread / PREFILL_TOKENS_PER_SECOND
+            seconds += _BATCH_SECONDS_A_CALL * running
+        else:
+            seconds += _TURN_SECONDS * running / max(1, ref.slots)
+        return Choice(ref, seconds, unread, running)
+
+    def _unread(self, ref: ServerRef, demand: Demand) -> int:
+        held = self._loads.of(ref.key).cache.held_tokens(demand.prompt)
+        total = sum(part.tokens for part in demand.prompt.parts)
+        return max(0, max(demand.prompt.input_tokens, total) - held)
+
+
+__all__ = ('Choice', 'Demand', 'PlacementPolicy')
--- a/src/burdockledge/settings/__init__.py
+++ b/src/burdockledge/settings/__init__.py
@@ -9,15 +9,19 @@
     load_settings,
 )
 from burdockledge.settings._models import (
+    Address,
     CommaList,
     CommandSettings,
+    RelayHostSettings,
     ServeSettings,
     TlsSettings,
 )
 
 __all__ = (
+    'Address',
     'CommaList',
     'CommandSettings',
+    'RelayHostSettings',
     'ServeSettings',
     'SettingsError',
     'TlsSettings',
--- a/src/burdockledge/settings/_models.py
+++ b/src/burdockledge/settings/_models.py
@@ -1,5 +1,6 @@
 """The settings of an entry host, checked at start."""
 
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Self
 
@@ -60,6 +61,36 @@
         return self
 
 
+@dataclass(frozen=True, slots=True)
+class RelayHostSettings:
+    """
+    Settings of an entry host that forwards calls, all checked.
+
+    Addresses are ``IP:port``; ``exchange_port`` is the port of notes on
+    every host. Seconds bound when a configuration is in force and when a
+    draining server gets nothing new; ``grace_seconds`` is the time from the
+    request to stop to the kill. The retry terms hold for all hosts together.
+    """
+
+    host: str
+    data_centre: str
+    caller_address: str
+    readiness_address: str
+    directory_address: str
+    control_address: str
+    peer_address: str
+    exchange_port: int
+    seeds: tuple[str, ...]
+    store_address: str
+    configuration_seconds: float
+    drain_seconds: float
+    grace_seconds: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_seconds: float
+    directory_seconds: float
+
+
 class ServeSettings(TlsSettings):
     """Settings of ``burdockledge serve``."""
 
@@ -176,4 +207,10 @@
         return f'{scheme}://{self.caller_address}'
 
 
-__all__ = ('CommandSettings', 'ServeSettings', 'TlsSettings')
+__all__ = (
+    'Address',
+    'CommandSettings',
+    'RelayHostSettings',
+    'ServeSettings',
+    'TlsSettings',
+)
--- a/src/burdockledge/wire/_codec.py
+++ b/src/burdockledge/wire/_codec.py
@@ -28,12 +28,12 @@
 def encode_frame(frame: messages.Frame) -> bytes:
     """Encode a frame without its length prefix."""
     raw = ttypes.Frame(
-        offers=_raw_list(ttypes.Offer, frame.offers),
-        grants=_raw_list(ttypes.Grant, frame.grants),
-        refusals=_raw_list(ttypes.Refusal, frame.refusals),
-        releases=_raw_list(ttypes.Release, frame.releases),
-        yields=_raw_list(ttypes.Yield, frame.yields),
-        pull=_raw(ttypes.ConfigurationPull, frame.pull),
+        offers=to_raw_list(ttypes.Offer, frame.offers),
+        grants=to_raw_list(ttypes.Grant, frame.grants),
+        refusals=to_raw_list(ttypes.Refusal, frame.refusals),
+        releases=to_raw_list(ttypes.Release, frame.releases),
+        yields=to_raw_list(ttypes.Yield, frame.yields),
+        pull=to_raw(ttypes.ConfigurationPull, frame.pull),
         heartbeat=frame.heartbeat,
         stamp=frame.stamp,
     )
@@ -43,11 +43,11 @@
             version=frame.state.version,
             document=frame.state.document,
             records=[
-                _raw(ttypes.ConfigurationRecord, record)
+                to_raw(ttypes.ConfigurationRecord, record)
                 for record in frame.state.records
             ],
         )
-    return _write(raw)
+    return write_struct(raw)
 
 
 def decode_frame(encoded: bytes) -> messages.Frame:
@@ -56,14 +56,14 @@
 
     :raises WireError: if the bytes are no frame.
     """
-    raw = _read(ttypes.Frame(), encoded)
+    raw = read_struct(ttypes.Frame(), encoded)
     return messages.Frame(
-        offers=_typed_list(messages.Offer, raw.offers),
-        grants=_typed_list(messages.Grant, raw.grants),
-        refusals=_typed_list(messages.Refusal, raw.refusals),
-        releases=_typed_list(messages.Release, raw.releases),
-        yields=_typed_list(messages.Yield, raw.yields),
-        pull=_typed_optional(messages.ConfigurationPull, raw.pull),
+        offers=to_typed_list(messages.Offer, raw.offers),
+        grants=to_typed_list(messages.Grant, raw.grants),
+        refusals=to_typed_list(messages.Refusal, raw.refusals),
+        releases=to_typed_list(messages.Release, raw.releases),
+        yields=to_typed_list(messages.Yield, raw.yields),
+        pull=to_typed_optional(messages.ConfigurationPull, raw.pull),
         state=_typed_state(raw.state),
         heartbeat=raw.heartbeat,
         stamp=raw.stamp,
@@ -72,7 +72,7 @@
 
 def encode_hello(hello: messages.Hello) -> bytes:
     """Encode the opening message of a link."""
-    return _write(_raw(ttypes.Hello, hello))
+    return write_struct(to_raw(ttypes.Hello, hello))
 
 
 def decode_hello(encoded: bytes) -> messages.Hello:
@@ -81,21 +81,21 @@
 
     :raises WireError: if the bytes are no opening message.
     """
-    return _typed(messages.Hello, _read(ttypes.Hello(), encoded))
+    return to_typed(messages.Hello, read_struct(ttypes.Hello(), encoded))
 
 
 def encode_probe(probe: messages.Probe) -> bytes:
     """Encode a membership datagram."""
-    return _write(
+    return write_struct(
         ttypes.Probe(
             kind=probe.kind,
             sequence=probe.sequence,
-            sender=_raw(ttypes.MemberUpdate, probe.sender),
+            sender=to_raw(ttypes.MemberUpdate, probe.sender),
             updates=[
-                _raw(ttypes.MemberUpdate, update) for update in probe.updates
+                to_raw(ttypes.MemberUpdate, update) for update in probe.updates
             ],
             configuration_offset=probe.configuration_offset,
-            target=_raw(ttypes.MemberUpdate, probe.target),
+            target=to_raw(ttypes.MemberUpdate, probe.target),
         ),
     )
 
@@ -106,27 +106,33 @@
 
     :raises WireError: if the bytes are no datagram.
     """
-    raw = _read(ttypes.Probe(), encoded)
+    raw = read_struct(ttypes.Probe(), encoded)
     if raw.sender is None or raw.kind is None:
         raise WireError('datagram without kind or sender')
     return messages.Probe(
         kind=raw.kind,
         sequence=raw.sequence or 0,
-        sender=_typed(messages.MemberUpdate, raw.sender),
-        updates=_typed_list(messages.MemberUpdate, raw.updates),
+        sender=to_typed(messages.MemberUpdate, raw.sender),
+        updates=to_typed_list(messages.MemberUpdate, raw.updates),
         configuration_offset=raw.configuration_offset or 0,
-        target=_typed_optional(messages.MemberUpdate, raw.target),
+        target=to_typed_optional(messages.MemberUpdate, raw.target),
     )
 
 
-def _write(raw: Any) -> bytes:
+def write_struct(raw: Any) -> bytes:
+    """Encode a generated struct."""
     buffer = TMemoryBuffer()
     raw.write(_FACTORY.getProtocol(buffer))
     encoded: bytes = buffer.getvalue()
     return encoded
 
 
-def _read(raw: Any, encoded: bytes) -> Any:
+def read_struct(raw: Any, encoded: bytes) -> Any:
+    """
+    Decode a generated struct.
+
+    :raises WireError: if the bytes do not decode.
+    """
     try:
         raw.read(_FACTORY.getProtocol(TMemoryBuffer(encoded)))
     except Exception as error:
@@ -135,7 +141,8 @@
     return raw
 
 
-def _raw(kind: Any, message: object) -> Any:
+def to_raw(kind: Any, message: object) -> Any:
+    """Convert a message to its generated struct."""
     if message is None:
         return None
     return kind(
@@ -143,23 +150,30 @@
     )
 
 
-def _raw_list(kind: Any, items: Iterable[object]) -> Any:
-    return [_raw(kind, message) for message in items] or None
+def to_raw_list(kind: Any, items: Iterable[object]) -> Any:
+    """Convert messages to generated structs, None for no message."""
+    return [to_raw(kind, message) for message in items] or None
 
 
-def _typed(kind: type[MessageT], raw: Any) -> MessageT:
+def to_typed(kind: type[MessageT], raw: Any) -> MessageT:
+    """
+    Convert a generated struct to a message.
+
+    :raises WireError: if a field is missing.
+    """
     fields = {name: getattr(raw, name) for name in _names(kind)}
     if any(field is None for field in fields.values()):
         raise WireError(f'{kind.__name__} lacks a field')
     return kind(**fields)
 
 
-def _typed_list(kind: type[MessageT], raws: Any) -> list[MessageT]:
-    return [_typed(kind, raw) for raw in raws or ()]
+def to_typed_list(kind: type[MessageT], raws: Any) -> list[MessageT]:
+    """Convert generated structs to messages."""
+    return [to_typed(kind, raw) for raw in raws or ()]
 
 
-def _typed_optional(kind: type[MessageT], raw: Any) -> MessageT | None:
-    return None if raw is None else _typed(kind, raw)
+def to_typed_optional(kind: type[MessageT], raw: Any) -> MessageT | None:
+    return None if raw is None else to_typed(kind, raw)
 
 
 def _typed_state(raw: Any) -> messages.ConfigurationState | None:
@@ -169,7 +183,7 @@
         offset=raw.offset,
         version=raw.version,
         document=raw.document,
-        records=_typed_list(messages.ConfigurationRecord, raw.records),
+        records=to_typed_list(messages.ConfigurationRecord, raw.records),
     )
 
 
@@ -185,4 +199,10 @@
     'encode_frame',
     'encode_hello',
     'encode_probe',
+    'read_struct',
+    'to_raw',
+    'to_raw_list',
+    'to_typed',
+    'to_typed_list',
+    'write_struct',
 )
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -90,3 +90,58 @@
   5: i64 configuration_offset,
   6: optional MemberUpdate target,
 }
+
+// The newest record of a key in a replicated stream; no content: removed.
+struct StreamEntry {
+  1: string key,
+  2: i64 offset,
+  3: optional binary content,
+}
+
+// Records of a stream from ``start`` up to ``end``, complete as of ``age_ms``
+// ago; ``is_whole`` holds the newest record of every key.
+struct StreamUpdate {
+  1: string stream,
+  2: i64 start,
+  3: i64 end,
+  4: i64 age_ms,
+  5: list<StreamEntry> entries,
+  6: bool is_whole,
+}
+
+struct StreamPull {
+  1: string stream,
+  2: i64 position,
+}
+
+struct CallStarted {
+  1: i64 call,
+  2: string server,
+  3: i32 tier,
+  4: i32 unread_tokens,
+  5: list<i64> parts,
+  6: list<i32> part_tokens,
+}
+
+struct CallEnded {
+  1: i64 call,
+  2: string server,
+  3: i32 result,
+}
+
+// One piece of a note that does not fit a datagram.
+struct Fragment {
+  1: i64 note,
+  2: i32 index,
+  3: i32 count,
+  4: binary content,
+}
+
+struct Note {
+  1: string host,
+  2: optional list<StreamUpdate> updates,
+  3: optional list<StreamPull> pulls,
+  4: optional list<CallStarted> started,
+  5: optional list<CallEnded> ended,
+  6: optional Fragment fragment,
+}
