Order calls by the team's tier, then by the route's

Cause: the tier of a team took the place of the route's, so that weekly digests of a team went before drafts of the same team at the engines.

--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -58,6 +58,8 @@
 # An event stream that can be resumed is moved after a pause of this length.
 _STREAM_SILENCE_SECONDS: Final = 1.5
 _LOWEST_URGENCY: Final = 9
+# Route tiers that are told apart within a team's tier.
+_ROUTE_TIERS: Final = 3
 _MS: Final = 1000
 
 
@@ -79,12 +81,26 @@
     may_have_run: bool = False
     has_begun: bool = False
     events: EventCutter = field(default_factory=EventCutter)
+    first_seconds: float | None = None
+    wrote_at: float = 0.0
+    longest_pause: float = 0.0
 
     @property
-    def tier(self) -> int:
-        if self.team is not None and self.team.tier is not None:
-            return self.team.tier
-        return self.route.tier
+    def urgency(self) -> int:
+        """The team's tier first, then the route's; 0 is the most urgent."""
+        route = min(self.route.tier, _ROUTE_TIERS - 1)
+        if self.team is None or self.team.tier is None:
+            return route
+        return min(self.team.tier * _ROUTE_TIERS + route, _LOWEST_URGENCY)
+
+    def note_write(self, now: float) -> None:
+        """Note that events went to the caller."""
+        if self.first_seconds is None:
+            self.first_seconds = now - self.arrived_at
+        else:
+            pause = now - self.wrote_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self.wrote_at = now
 
     @property
     def is_idempotent(self) -> bool:
@@ -176,7 +192,7 @@
                 break
             placed = self._knowledge.place(
                 exchange.service,
-                exchange.tier,
+                exchange.urgency,
                 exchange.call.prompt,
                 frozenset(exchange.tried),
             )
@@ -245,7 +261,7 @@
             call=exchange.call,
             ref=placed.ref,
             team=None if exchange.team is None else exchange.team.name,
-            urgency=min(exchange.tier, _LOWEST_URGENCY),
+            urgency=exchange.urgency,
             patience_seconds=max(0.0, exchange.deadline - now),
             last_event=exchange.events.last_id or exchange.call.last_event,
             is_idempotent=exchange.is_idempotent,
@@ -333,6 +349,7 @@
                 continue
             if not exchange.has_begun:
                 await self._begin(exchange, answer)
+            exchange.note_write(self._clock.monotonic())
             await exchange.caller.write(whole)
         if not exchange.events.is_between_events:
             raise BrokenAnswerError
@@ -417,12 +434,14 @@
             request=exchange.call.request_id,
             route=exchange.route.name,
             team=None if exchange.team is None else exchange.team.name,
-            tier=exchange.tier,
+            urgency=exchange.urgency,
             version=exchange.version,
             status=status,
             why=why,
             sends=exchange.sends,
             ms=round(seconds * _MS),
+            first_ms=round((exchange.first_seconds or 0) * _MS),
+            pause_ms=round(exchange.longest_pause * _MS),
         )
 
 
