--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -61,6 +61,8 @@
     max_attempts: int = 1
     public: bool = False
     stream_resume: bool = False
+    # Longest pause between events of an answer that is on time.
+    gap_aim_ms: float | None = None
 
 
 class _Engine(_Model):
@@ -200,6 +202,9 @@
         is_public=route.public,
         is_resumable=route.stream_resume,
         shares=shares,
+        pause_seconds=None
+        if route.gap_aim_ms is None
+        else route.gap_aim_ms / _MS,
     )
 
 
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -103,6 +103,11 @@
         """Return every registered server, draining ones too."""
         return [entry.registration.ref for entry in self._live(now)]
 
+    def service_of(self, key: str) -> str | None:
+        """Return the service of an incarnation of a server."""
+        entry = self._entries.get(key.rpartition('/')[0])
+        return None if entry is None else entry.registration.ref.service
+
     def is_usable(self, ref: ServerRef, now: float) -> bool:
         """Tell whether this incarnation of a server may get new work."""
         entry = self._entries.get(ref.server)
--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -26,7 +26,7 @@
 
     from burdockledge.clock import Clock
     from burdockledge.registry import Registration, ServerRegistry
-    from burdockledge.relay._types import RoutingDocument
+    from burdockledge.relay._types import Route, RoutingDocument
     from burdockledge.replication import Exchange
 
 _log = make_logger('knowledge')
@@ -103,32 +103,38 @@
     def place(
         self,
         service: str,
-        tier: int,
+        route: Route,
+        urgency: int,
         prompt: Prompt,
         tried: frozenset[str],
     ) -> Placed | None:
         """Choose a server, and tell all hosts that it gets a call."""
         now = self._clock.monotonic()
-        demand = Demand(service, tier, prompt, self._data_centre)
+        demand = Demand(
+            service,
+            urgency,
+            prompt,
+            self._data_centre,
+            route.target_seconds,
+            route.pause_seconds,
+        )
         refs = self._registry.usable(service, now)
         choice = self._policy.choose(refs, demand, tried, now)
         if choice is None:
             return None
         call = self._random.getrandbits(_CALL_BITS)
-        server = choice.ref.key
-        self._loads.start(
-            CallStart(call, server, tier, choice.unread_tokens, prompt), now
-        )
-        self._exchange.announce_start(
-            CallStarted(
-                call,
-                server,
-                tier,
-                choice.unread_tokens,
-                [part.part for part in prompt.parts],
-                [part.tokens for part in prompt.parts],
-            ),
+        start = CallStart(
+            call,
+            choice.ref.key,
+            urgency,
+            choice.unread_tokens,
+            prompt,
+            prompt.output_limit,
+            demand.is_brisk,
         )
+        self._loads.start(start, now)
+        self._policy.note_start(service, start, now)
+        self._exchange.announce_start(_told(start))
         return Placed(
             call,
             choice.ref,
@@ -247,29 +253,45 @@
         ended: list[CallEnded],
     ) -> None:
         now = self._clock.monotonic()
-        for start in started:
-            parts = tuple(
-                PromptPart(part, tokens)
-                for part, tokens in zip(
-                    start.parts, start.part_tokens, strict=False
-                )
-            )
-            self._loads.start(
-                CallStart(
-                    start.call,
-                    start.server,
-                    start.tier,
-                    start.unread_tokens,
-                    Prompt(parts),
-                ),
-                now,
-            )
+        for told in started:
+            start = _heard(told)
+            self._loads.start(start, now)
+            service = self._registry.service_of(start.server)
+            if service is not None:
+                self._policy.note_start(service, start, now)
         for end in ended:
             self._loads.end(end.server, end.call)
             if end.result in set(CallResult):
                 self._note_result(end.server, end.result, host)
 
 
+def _told(start: CallStart) -> CallStarted:
+    parts = start.prompt.parts
+    return CallStarted(
+        start.call,
+        start.server,
+        start.tier,
+        start.unread_tokens,
+        [part.part for part in parts],
+        [part.tokens for part in parts],
+        start.output_tokens,
+        start.is_brisk,
+    )
+
+
+def _heard(told: CallStarted) -> CallStart:
+    pairs = zip(told.parts, told.part_tokens, strict=False)
+    return CallStart(
+        told.call,
+        told.server,
+        told.tier,
+        told.unread_tokens,
+        Prompt(tuple(PromptPart(part, tokens) for part, tokens in pairs)),
+        told.output_tokens,
+        told.is_brisk,
+    )
+
+
 __all__ = (
     'CONFIGURATION_STREAM',
     'SERVERS_STREAM',
--- a/src/burdockledge/relay/_knowledge.py
+++ b/src/burdockledge/relay/_knowledge.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from burdockledge.relay._routes import RouteIndex
-    from burdockledge.relay._types import Prompt, ServerRef
+    from burdockledge.relay._types import Prompt, Route, ServerRef
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,8 @@
     def place(
         self,
         service: str,
-        tier: int,
+        route: Route,
+        urgency: int,
         prompt: Prompt,
         tried: frozenset[str],
     ) -> Placed | None:
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -192,6 +192,7 @@
                 break
             placed = self._knowledge.place(
                 exchange.service,
+                exchange.route,
                 exchange.urgency,
                 exchange.call.prompt,
                 frozenset(exchange.tried),
--- a/src/burdockledge/relay/_types.py
+++ b/src/burdockledge/relay/_types.py
@@ -37,6 +37,7 @@
     is_public: bool
     is_resumable: bool
     shares: tuple[ServiceShare, ...]
+    pause_seconds: float | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -26,12 +26,8 @@
     tier: int
     unread_tokens: int
     prompt: Prompt
-
-
-@dataclass(slots=True)
-class _Running:
-    tier: int
-    started_at: float
+    output_tokens: int = 0
+    is_brisk: bool = False
 
 
 @dataclass(slots=True)
@@ -44,14 +40,14 @@
     """
 
     cache: PrefixCache
-    _running: dict[int, _Running] = field(default_factory=dict)
+    _running: dict[int, float] = field(default_factory=dict)
     _unread: dict[int, float] = field(default_factory=dict)
     _drained_at: float = 0.0
 
     def start(self, call: CallStart, now: float) -> None:
         """Note a call that was sent here."""
         self._drain(now)
-        self._running[call.call] = _Running(call.tier, now)
+        self._running[call.call] = now
         queued = self._unread.get(call.tier, 0.0)
         self._unread[call.tier] = queued + call.unread_tokens
         self.cache.use(call.prompt)
@@ -64,8 +60,8 @@
         """Return how many calls are at the server."""
         stale = [
             call
-            for call, known in self._running.items()
-            if now - known.started_at > FORGET_CALL_SECONDS
+            for call, started_at in self._running.items()
+            if now - started_at > FORGET_CALL_SECONDS
         ]
         for call in stale:
             self._running.pop(call)
@@ -79,6 +75,11 @@
         )
         return ahead / PREFILL_TOKENS_PER_SECOND
 
+    def whole_backlog_seconds(self, now: float) -> float:
+        """Return how long prompts of any tier are still read here."""
+        self._drain(now)
+        return sum(self._unread.values()) / PREFILL_TOKENS_PER_SECOND
+
     def _drain(self, now: float) -> None:
         room = (now - self._drained_at) * PREFILL_TOKENS_PER_SECOND
         self._drained_at = now
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -13,6 +13,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.scheduling._brisk import (
+    BRISK_PAUSE_SECONDS,
+    BRISK_PROMPT_TOKENS,
+    BriskDemand,
+)
 from burdockledge.scheduling._load import PREFILL_TOKENS_PER_SECOND
 
 if TYPE_CHECKING:
@@ -21,7 +26,7 @@
 
     from burdockledge.relay import Prompt, ServerRef
     from burdockledge.scheduling._evidence import EvidenceBook
-    from burdockledge.scheduling._load import LoadBook
+    from burdockledge.scheduling._load import CallStart, LoadBook
 
 # What each call in the batch adds to a token step of all others, in seconds,
 # over the few steps up to a first token (engines of the users: 0.1 ms a step).
@@ -35,6 +40,10 @@
 # Plain calls wait this long for each full turn of a server's slots.
 _TURN_SECONDS: Final = 0.05
 _TIE_SECONDS: Final = 0.0002
+# A brisk call leaves the engines kept for it when they are this much worse.
+_BRISK_SECONDS: Final = 0.15
+# Other calls enter these engines when that saves this part of their target.
+_TARGET_PART: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +54,17 @@
     tier: int
     prompt: Prompt
     data_centre: str
+    target_seconds: float = 1.0
+    pause_seconds: float | None = None
+
+    @property
+    def is_brisk(self) -> bool:
+        """Whether chunks of long prompts would hurt this call most."""
+        return (
+            self.pause_seconds is not None
+            and self.pause_seconds <= BRISK_PAUSE_SECONDS
+            and self.prompt.input_tokens <= BRISK_PROMPT_TOKENS
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +87,13 @@
         self._loads = loads
         self._evidence = evidence
         self._random = random
+        self._brisk: dict[str, BriskDemand] = {}
+
+    def note_start(self, service: str, call: CallStart, now: float) -> None:
+        """Count the demand of a call that any host sent."""
+        if call.is_brisk:
+            demand = self._brisk.setdefault(service, BriskDemand())
+            demand.note(call, now)
 
     def choose(
         self,
@@ -84,12 +111,26 @@
         sound = [
             ref for ref in fresh if not self._evidence.is_paused(ref.key, now)
         ]
-        choices = [self._weigh(ref, demand, now) for ref in sound or fresh]
+        kept = self._kept_for_brisk(sound, demand, now)
+        choices = [
+            self._weigh(ref, demand, now, ref.key in kept)
+            for ref in sound or fresh
+        ]
         return min(
             choices, key=lambda choice: choice.expected_seconds, default=None
         )
 
-    def _weigh(self, ref: ServerRef, demand: Demand, now: float) -> Choice:
+    def _kept_for_brisk(
+        self, refs: list[ServerRef], demand: Demand, now: float
+    ) -> frozenset[str]:
+        known = self._brisk.get(demand.service)
+        if known is None:
+            return frozenset()
+        return known.engines([ref.key for ref in refs], now)
+
+    def _weigh(
+        self, ref: ServerRef, demand: Demand, now: float, is_kept: bool
+    ) -> Choice:
         load = self._loads.of(ref.key)
         running = load.running(now)
         seconds = self._random.uniform(0, _TIE_SECONDS)
@@ -102,6 +143,11 @@
             seconds += load.backlog_seconds(demand.tier, now)
             seconds += _REREAD_WEIGHT * unread / PREFILL_TOKENS_PER_SECOND
             seconds += _BATCH_SECONDS_A_CALL * running
+            if demand.is_brisk:
+                seconds += load.whole_backlog_seconds(now)
+                seconds += 0 if is_kept else _BRISK_SECONDS
+            elif is_kept:
+                seconds += _TARGET_PART * demand.target_seconds
         else:
             seconds += _TURN_SECONDS * running / max(1, ref.slots)
         return Choice(ref, seconds, unread, running)
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -62,6 +62,8 @@
     unread_tokens: int
     parts: list[int]
     part_tokens: list[int]
+    output_tokens: int
+    is_brisk: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -121,6 +121,8 @@
   4: i32 unread_tokens,
   5: list<i64> parts,
   6: list<i32> part_tokens,
+  7: i32 output_tokens,
+  8: bool is_brisk,
 }
 
 struct CallEnded {
