Weigh a part read again five times its time

Cause: long prompts left the engine that holds their shared part for a short queue elsewhere and read the part again.

--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -32,7 +32,7 @@
 # over the few steps up to a first token (engines of the users: 0.1 ms a step).
 _BATCH_SECONDS_A_CALL: Final = 0.0005
 # Reading a shared part again also takes cache room from others.
-_REREAD_WEIGHT: Final = 1.5
+_REREAD_WEIGHT: Final = 5.0
 # A call between data centres costs a round trip and priced bytes.
 _REMOTE_SECONDS: Final = 0.004
 # How long a call that fails is worth waiting elsewhere to avoid it.
