--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -19,7 +19,7 @@
     PlacementPolicy,
 )
 from burdockledge.telemetry import make_logger
-from burdockledge.wire import CallEnded, CallStarted, StreamEntry
+from burdockledge.wire import CallEnded, CallHeard, CallStarted, StreamEntry
 
 if TYPE_CHECKING:
     from random import Random
@@ -28,6 +28,7 @@
     from burdockledge.registry import Registration, ServerRegistry
     from burdockledge.relay._types import Route, RoutingDocument
     from burdockledge.replication import Exchange
+    from burdockledge.wire import Note
 
 _log = make_logger('knowledge')
 
@@ -145,7 +146,11 @@
 
     def heard(self, placed: Placed) -> None:
         """Note that a server began to answer."""
-        self._evidence.proved(placed.ref.key, self._clock.monotonic())
+        now = self._clock.monotonic()
+        server = placed.ref.key
+        self._evidence.proved(server, now)
+        self._loads.hear(server, placed.call, now)
+        self._exchange.announce_first(CallHeard(placed.call, server))
 
     def ended(self, placed: Placed, result: int) -> None:
         """Note how a placed call ended, and tell the others."""
@@ -246,23 +251,20 @@
         if self.on_routes is not None:
             self.on_routes(self._routes)
 
-    def _fold_calls(
-        self,
-        host: str,
-        started: list[CallStarted],
-        ended: list[CallEnded],
-    ) -> None:
+    def _fold_calls(self, note: Note) -> None:
         now = self._clock.monotonic()
-        for told in started:
+        for told in note.started:
             start = _heard(told)
             self._loads.start(start, now)
             service = self._registry.service_of(start.server)
             if service is not None:
                 self._policy.note_start(service, start, now)
-        for end in ended:
+        for heard in note.heard:
+            self._loads.hear(heard.server, heard.call, now)
+        for end in note.ended:
             self._loads.end(end.server, end.call)
             if end.result in set(CallResult):
-                self._note_result(end.server, end.result, host)
+                self._note_result(end.server, end.result, note.host)
 
 
 def _told(start: CallStart) -> CallStarted:
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -12,6 +12,7 @@
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
     CallEnded,
+    CallHeard,
     CallStarted,
     Note,
     NoteAssembler,
@@ -38,10 +39,11 @@
 _PULL_SECONDS: Final = 0.15
 # Starts that follow at once share a datagram; ends may wait longer.
 _START_FLUSH_SECONDS: Final = 0.001
+_FIRST_FLUSH_SECONDS: Final = 0.02
 _END_FLUSH_SECONDS: Final = 0.05
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
-LoadListener = Callable[[str, list[CallStarted], list[CallEnded]], None]
+LoadListener = Callable[[Note], None]
 
 
 class Exchange(TaskGroupService):
@@ -120,6 +122,11 @@
         self._outgoing.started.append(call)
         self._flush_within(_START_FLUSH_SECONDS)
 
+    def announce_first(self, call: CallHeard) -> None:
+        """Tell the others that a call of this host got its first event."""
+        self._outgoing.heard.append(call)
+        self._flush_within(_FIRST_FLUSH_SECONDS)
+
     def announce_end(self, call: CallEnded) -> None:
         """Tell the others how a call of this host ended."""
         self._outgoing.ended.append(call)
@@ -155,7 +162,7 @@
     def _flush_calls(self) -> None:
         self._flush = None
         note, self._outgoing = self._outgoing, Note(self._host)
-        if note.started or note.ended:
+        if note.started or note.heard or note.ended:
             self._send_all(note)
 
     def _send_all(self, note: Note) -> None:
@@ -203,8 +210,8 @@
                 self._fold(update, source)
         if note.pulls:
             self._answer(note.pulls, source)
-        if self.on_calls is not None and (note.started or note.ended):
-            self.on_calls(note.host, note.started, note.ended)
+        if self.on_calls is not None:
+            self.on_calls(note)
 
     def _answer(self, pulls: list[StreamPull], source: str) -> None:
         now = self._clock.monotonic()
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.scheduling._cache import PrefixCache
@@ -10,11 +10,20 @@
 if TYPE_CHECKING:
     from burdockledge.relay import Prompt, ServerRef
 
-# An engine of the users reads 112 to 157 prompt tokens in a millisecond.
-PREFILL_TOKENS_PER_SECOND: Final = 112_000.0
+# Prompt tokens that an engine reads in a second until calls tell; engines of
+# the users read 112 to 157 in a millisecond, less what running streams take.
+PREFILL_TOKENS_PER_SECOND: Final = 80_000.0
 # The end of a call may be lost with its host; longest time limit of the users.
 FORGET_CALL_SECONDS: Final = 12.0
 _DEFAULT_CACHE_TOKENS: Final = 500_000
+# From the send to a first event of a prompt without tokens (engines of the
+# users: 31 ms, and the way).
+_FIRST_EVENT_SECONDS: Final = 0.035
+# Only the reading of prompts of some chunks tells the speed of an engine.
+_TELLING_TOKENS: Final = 6000
+_SPEED_WEIGHT: Final = 0.2
+_SLOWEST: Final = 10_000.0
+_FASTEST: Final = 400_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,64 +40,87 @@
 
 
 @dataclass(slots=True)
-class ServerLoad:
-    """
-    The load on one incarnation of a server.
+class _Unread:
+    """A call whose prompt is not read; ``is_alone``: none was before it."""
+
+    tier: int
+    tokens: int
+    sent_at: float
+    is_alone: bool
 
-    Prompt tokens still to be read are a fluid queue for each tier, which
-    drains at the speed of an engine, the most urgent tier first.
-    """
 
-    cache: PrefixCache
-    _running: dict[int, float] = field(default_factory=dict)
-    _unread: dict[int, float] = field(default_factory=dict)
-    _drained_at: float = 0.0
+class ServerLoad:
+    """The load on one incarnation of a server."""
+
+    def __init__(self, cache: PrefixCache, speed: float) -> None:
+        """Create an idle server that reads ``speed`` tokens a second."""
+        self.cache = cache
+        self.speed = speed
+        self._running: dict[int, float] = {}
+        self._unread: dict[int, _Unread] = {}
+        self._reading_since = 0.0
 
     def start(self, call: CallStart, now: float) -> None:
         """Note a call that was sent here."""
-        self._drain(now)
+        if not self._unread:
+            self._reading_since = now
         self._running[call.call] = now
-        queued = self._unread.get(call.tier, 0.0)
-        self._unread[call.tier] = queued + call.unread_tokens
+        self._unread[call.call] = _Unread(
+            call.tier, call.unread_tokens, now, not self._unread
+        )
         self.cache.use(call.prompt)
 
+    def hear(self, call: int, now: float) -> None:
+        """Note the first event of a call: its prompt was read."""
+        unread = self._unread.pop(call, None)
+        if unread is None:
+            return
+        self._reading_since = now
+        seconds = now - unread.sent_at - _FIRST_EVENT_SECONDS
+        if not unread.is_alone or unread.tokens < _TELLING_TOKENS:
+            return
+        if seconds > 0:
+            speed = min(_FASTEST, max(_SLOWEST, unread.tokens / seconds))
+            self.speed += _SPEED_WEIGHT * (speed - self.speed)
+
     def end(self, call: int) -> None:
         """Note that a call ended here."""
         self._running.pop(call, None)
+        self._unread.pop(call, None)
 
     def running(self, now: float) -> int:
         """Return how many calls are at the server."""
         stale = [
             call
-            for call, started_at in self._running.items()
-            if now - started_at > FORGET_CALL_SECONDS
+            for call, sent_at in self._running.items()
+            if now - sent_at > FORGET_CALL_SECONDS
         ]
         for call in stale:
-            self._running.pop(call)
+            self.end(call)
         return len(self._running)
 
     def backlog_seconds(self, tier: int, now: float) -> float:
         """Return how long a call of a tier waits for prompts before it."""
-        self._drain(now)
         ahead = sum(
-            tokens for known, tokens in self._unread.items() if known <= tier
+            unread.tokens
+            for unread in self._unread.values()
+            if unread.tier <= tier
         )
-        return ahead / PREFILL_TOKENS_PER_SECOND
+        return self._left_seconds(ahead, now)
 
     def whole_backlog_seconds(self, now: float) -> float:
         """Return how long prompts of any tier are still read here."""
-        self._drain(now)
-        return sum(self._unread.values()) / PREFILL_TOKENS_PER_SECOND
-
-    def _drain(self, now: float) -> None:
-        room = (now - self._drained_at) * PREFILL_TOKENS_PER_SECOND
-        self._drained_at = now
-        for tier in sorted(self._unread):
-            used = min(room, self._unread[tier])
-            room -= used
-            self._unread[tier] -= used
-            if not self._unread[tier]:
-                self._unread.pop(tier)
+        tokens = sum(unread.tokens for unread in self._unread.values())
+        return self._left_seconds(tokens, now)
+
+    def _left_seconds(self, tokens: int, now: float) -> float:
+        # What was read since the last first event is not told yet; it is at
+        # most the prompt that is being read.
+        largest = max(
+            (unread.tokens for unread in self._unread.values()), default=0
+        )
+        read = min((now - self._reading_since) * self.speed, largest)
+        return max(0.0, tokens - read) / self.speed
 
 
 class LoadBook:
@@ -108,7 +140,7 @@
         load = self._loads.get(server)
         if load is None:
             tokens = self._capacities.get(server, _DEFAULT_CACHE_TOKENS)
-            load = ServerLoad(PrefixCache(tokens))
+            load = ServerLoad(PrefixCache(tokens), self._mean_speed())
             self._loads[server] = load
         return load
 
@@ -116,6 +148,12 @@
         """Note a call that was sent, by this host or another."""
         self.of(call.server).start(call, now)
 
+    def hear(self, server: str, call: int, now: float) -> None:
+        """Note the first event of a call."""
+        load = self._loads.get(server)
+        if load is not None:
+            load.hear(call, now)
+
     def end(self, server: str, call: int) -> None:
         """Note that a call ended."""
         load = self._loads.get(server)
@@ -130,6 +168,12 @@
                 self._loads.pop(server)
                 self._capacities.pop(server, None)
 
+    def _mean_speed(self) -> float:
+        if not self._loads:
+            return PREFILL_TOKENS_PER_SECOND
+        speeds = [load.speed for load in self._loads.values()]
+        return sum(speeds) / len(speeds)
+
 
 __all__ = (
     'FORGET_CALL_SECONDS',
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -18,7 +18,6 @@
     BRISK_PROMPT_TOKENS,
     BriskDemand,
 )
-from burdockledge.scheduling._load import PREFILL_TOKENS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -32,7 +31,7 @@
 # over the few steps up to a first token (engines of the users: 0.1 ms a step).
 _BATCH_SECONDS_A_CALL: Final = 0.0005
 # Reading a shared part again also takes cache room from others.
-_REREAD_WEIGHT: Final = 5.0
+_REREAD_WEIGHT: Final = 4.0
 # A call between data centres costs a round trip and priced bytes.
 _REMOTE_SECONDS: Final = 0.004
 # How long a call that fails is worth waiting elsewhere to avoid it.
@@ -141,7 +140,7 @@
         if demand.prompt.parts:
             unread = self._unread(ref, demand)
             seconds += load.backlog_seconds(demand.tier, now)
-            seconds += _REREAD_WEIGHT * unread / PREFILL_TOKENS_PER_SECOND
+            seconds += _REREAD_WEIGHT * unread / load.speed
             seconds += _BATCH_SECONDS_A_CALL * running
             if demand.is_brisk:
                 seconds += load.whole_backlog_seconds(now)
--- a/src/burdockledge/wire/__init__.py
+++ b/src/burdockledge/wire/__init__.py
@@ -31,6 +31,7 @@
 from burdockledge.wire._notes import (
     DATAGRAM_BYTES,
     CallEnded,
+    CallHeard,
     CallStarted,
     Fragment,
     Note,
@@ -46,6 +47,7 @@
 __all__ = (
     'DATAGRAM_BYTES',
     'CallEnded',
+    'CallHeard',
     'CallStarted',
     'ConfigurationPull',
     'ConfigurationRecord',
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -66,6 +66,14 @@
     is_brisk: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CallHeard:
+    """The first event of a call arrived: its prompt was read."""
+
+    call: int
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallEnded:
     """How a call of a host ended at a backend server."""
@@ -93,6 +101,7 @@
     updates: list[StreamUpdate] = field(default_factory=list)
     pulls: list[StreamPull] = field(default_factory=list)
     started: list[CallStarted] = field(default_factory=list)
+    heard: list[CallHeard] = field(default_factory=list)
     ended: list[CallEnded] = field(default_factory=list)
     fragment: Fragment | None = None
 
@@ -105,6 +114,7 @@
             updates=[_raw_update(update) for update in note.updates] or None,
             pulls=to_raw_list(ttypes.StreamPull, note.pulls),
             started=to_raw_list(ttypes.CallStarted, note.started),
+            heard=to_raw_list(ttypes.CallHeard, note.heard),
             ended=to_raw_list(ttypes.CallEnded, note.ended),
             fragment=to_raw(ttypes.Fragment, note.fragment),
         ),
@@ -125,6 +135,7 @@
         updates=[_typed_update(update) for update in raw.updates or ()],
         pulls=to_typed_list(StreamPull, raw.pulls),
         started=to_typed_list(CallStarted, raw.started),
+        heard=to_typed_list(CallHeard, raw.heard),
         ended=to_typed_list(CallEnded, raw.ended),
         fragment=None
         if raw.fragment is None
@@ -228,6 +239,7 @@
 __all__ = (
     'DATAGRAM_BYTES',
     'CallEnded',
+    'CallHeard',
     'CallStarted',
     'Fragment',
     'Note',
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -131,6 +131,12 @@
   3: i32 result,
 }
 
+// The first event of a call arrived: its prompt was read.
+struct CallHeard {
+  1: i64 call,
+  2: string server,
+}
+
 // One piece of a note that does not fit a datagram.
 struct Fragment {
   1: i64 note,
@@ -146,4 +152,5 @@
   4: optional list<CallStarted> started,
   5: optional list<CallEnded> ended,
   6: optional Fragment fragment,
+  7: optional list<CallHeard> heard,
 }
