--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -89,6 +89,8 @@
     headers.append((names.URGENCY, str(outbound.urgency)))
     if outbound.team is not None:
         headers.append((names.TEAM, outbound.team))
+    if outbound.source is not None:
+        headers.append((names.FETCH_FROM, outbound.source.address))
     if outbound.last_event is not None:
         headers.append((names.LAST_EVENT, outbound.last_event))
     return tuple(headers)
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -22,6 +22,8 @@
 NOT_RUN: Final = 'Burdockledge-Not-Executed'
 # 0 goes first; 5 where the header is absent.
 URGENCY: Final = 'Burdockledge-Request-Urgency'
+# Address of a server whose cached prompt parts are fetched first.
+FETCH_FROM: Final = 'Kv-Fetch'
 KEY_HEADER: Final = 'Authorization'
 KEY_SCHEME: Final = 'Token'
 
@@ -39,7 +41,7 @@
         'Burdockledge-Kv-Backup',
         'Burdockledge-Expect-Version',
         'Kv-From',
-        'Kv-Fetch',
+        FETCH_FROM,
         'Wait-Ms',
     )
 )
@@ -64,6 +66,7 @@
     'CONFIGURATION_TOPIC',
     'DIRECTORY_PATH',
     'EXPECTED_SERVER',
+    'FETCH_FROM',
     'HOSTS_TOPIC',
     'KEY_HEADER',
     'KEY_SCHEME',
--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -142,6 +142,7 @@
             choice.expected_seconds,
             choice.unread_tokens,
             choice.running,
+            choice.source,
         )
 
     def heard(self, placed: Placed) -> None:
--- a/src/burdockledge/relay/_knowledge.py
+++ b/src/burdockledge/relay/_knowledge.py
@@ -13,13 +13,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A call on its way to a server, with what decided the choice."""
+    """
+    A call on its way to a server, with what decided the choice.
+
+    The server fetches what it lacks of the prompt from ``source``, if any.
+    """
 
     call: int
     ref: ServerRef
     expected_seconds: float
     unread_tokens: int
     running: int
+    source: ServerRef | None = None
 
 
 class Knowledge(ABC):
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -38,7 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OutboundCall:
-    """What is sent to a server; ``urgency`` 0 goes first."""
+    """
+    What is sent to a server; ``urgency`` 0 goes first.
+
+    The server fetches cached parts of the prompt from ``source``, if any.
+    """
 
     call: ForwardedCall
     ref: ServerRef
@@ -47,6 +51,7 @@
     patience_seconds: float
     last_event: str | None
     is_idempotent: bool
+    source: ServerRef | None = None
 
 
 class ServerAnswer(ABC):
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -266,6 +266,7 @@
             patience_seconds=max(0.0, exchange.deadline - now),
             last_event=exchange.events.last_id or exchange.call.last_event,
             is_idempotent=exchange.is_idempotent,
+            source=placed.source,
         )
         limit = self._silence_limit(exchange)
         # Until the send is settled, a time-out finds a call that may run.
@@ -419,6 +420,7 @@
             expected_ms=round(placed.expected_seconds * _MS),
             unread=placed.unread_tokens,
             running=placed.running,
+            source=None if placed.source is None else placed.source.server,
             age_ms=self._knowledge.age_ms(),
         )
 
--- a/src/burdockledge/scheduling/_cache.py
+++ b/src/burdockledge/scheduling/_cache.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from burdockledge.relay import Prompt
 
 
@@ -21,25 +23,41 @@
         """Create an empty cache."""
         self._capacity = capacity_tokens
         self._parts: OrderedDict[int, int] = OrderedDict()
+        self._read: set[int] = set()
         self._tokens = 0
 
     def held_tokens(self, prompt: Prompt) -> int:
-        """Return the tokens of the leading parts that are held."""
-        held = 0
-        for part in prompt.parts:
-            if part.part not in self._parts:
-                break
-            held += part.tokens
-        return held
+        """Return the tokens of the leading parts held or being read."""
+        return _leading(prompt, self._parts)
+
+    def read_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of the leading parts that were read."""
+        return _leading(prompt, self._read)
+
+    def note_read(self, prompt: Prompt) -> None:
+        """Note that the parts of a prompt were read."""
+        self._read.update(
+            part.part for part in prompt.parts if part.part in self._parts
+        )
 
     def use(self, prompt: Prompt) -> None:
         """Note that the parts of a prompt are read here."""
-        for part in prompt.parts:
-            self._tokens += part.tokens - self._parts.pop(part.part, 0)
-            self._parts[part.part] = part.tokens
+        for used in prompt.parts:
+            self._tokens += used.tokens - self._parts.pop(used.part, 0)
+            self._parts[used.part] = used.tokens
         while self._tokens > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
+            part, tokens = self._parts.popitem(last=False)
+            self._read.discard(part)
             self._tokens -= tokens
 
 
+def _leading(prompt: Prompt, parts: Container[int]) -> int:
+    held = 0
+    for part in prompt.parts:
+        if part.part not in parts:
+            break
+        held += part.tokens
+    return held
+
+
 __all__ = ('PrefixCache',)
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -45,6 +45,7 @@
 
     tier: int
     tokens: int
+    prompt: Prompt
     sent_at: float
     is_alone: bool
 
@@ -66,7 +67,11 @@
             self._reading_since = now
         self._running[call.call] = now
         self._unread[call.call] = _Unread(
-            call.tier, call.unread_tokens, now, not self._unread
+            call.tier,
+            call.unread_tokens,
+            call.prompt,
+            now,
+            not self._unread,
         )
         self.cache.use(call.prompt)
 
@@ -75,6 +80,7 @@
         unread = self._unread.pop(call, None)
         if unread is None:
             return
+        self.cache.note_read(unread.prompt)
         self._reading_since = now
         seconds = now - unread.sent_at - _FIRST_EVENT_SECONDS
         if not unread.is_alone or unread.tokens < _TELLING_TOKENS:
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -32,6 +32,10 @@
 _BATCH_SECONDS_A_CALL: Final = 0.0005
 # Reading a shared part again also takes cache room from others.
 _REREAD_WEIGHT: Final = 4.0
+# Prompt tokens fetched from another server's cache, against tokens read:
+# they cost links, which are priced, and little time.
+_FETCH_PART: Final = 0.3
+_LEAST_FETCH_TOKENS: Final = 1024
 # A call between data centres costs a round trip and priced bytes.
 _REMOTE_SECONDS: Final = 0.004
 # How long a call that fails is worth waiting elsewhere to avoid it.
@@ -41,8 +45,8 @@
 _TIE_SECONDS: Final = 0.0002
 # A brisk call leaves the engines kept for it when they are this much worse.
 _BRISK_SECONDS: Final = 0.15
-# Other calls enter these engines when that saves this part of their target.
-_TARGET_PART: Final = 0.5
+# Other calls enter these engines when that saves this many targets.
+_TARGETS: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +72,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """A chosen server and the figures that decided it."""
+    """
+    A chosen server and the figures that decided it.
+
+    ``source`` is a server that holds more of the prompt, to fetch from.
+    """
 
     ref: ServerRef
     expected_seconds: float
     unread_tokens: int
     running: int
+    source: ServerRef | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Holder:
+    """The server that has read most of a prompt."""
+
+    ref: ServerRef
+    tokens: int
 
 
 class PlacementPolicy:
@@ -111,8 +128,9 @@
             ref for ref in fresh if not self._evidence.is_paused(ref.key, now)
         ]
         kept = self._kept_for_brisk(sound, demand, now)
+        holder = self._best_holder(sound, demand)
         choices = [
-            self._weigh(ref, demand, now, ref.key in kept)
+            self._weigh(ref, demand, now, ref.key in kept, holder)
             for ref in sound or fresh
         ]
         return min(
@@ -128,7 +146,12 @@
         return known.engines([ref.key for ref in refs], now)
 
     def _weigh(
-        self, ref: ServerRef, demand: Demand, now: float, is_kept: bool
+        self,
+        ref: ServerRef,
+        demand: Demand,
+        now: float,
+        is_kept: bool,
+        holder: _Holder | None,
     ) -> Choice:
         load = self._loads.of(ref.key)
         running = load.running(now)
@@ -137,8 +160,18 @@
             seconds += _REMOTE_SECONDS
         seconds += _FAILURE_SECONDS * self._evidence.failure_share(ref.key, now)
         unread = 0
+        source = None
         if demand.prompt.parts:
-            unread = self._unread(ref, demand)
+            held = load.cache.held_tokens(demand.prompt)
+            unread = max(0, _total_tokens(demand.prompt) - held)
+            if holder is not None and holder.ref.key != ref.key:
+                fetched = min(unread, holder.tokens - held)
+                if fetched >= _LEAST_FETCH_TOKENS:
+                    source = holder.ref
+                    unread -= fetched
+                    seconds += (
+                        _REREAD_WEIGHT * _FETCH_PART * fetched / load.speed
+                    )
             seconds += load.backlog_seconds(demand.tier, now)
             seconds += _REREAD_WEIGHT * unread / load.speed
             seconds += _BATCH_SECONDS_A_CALL * running
@@ -146,15 +179,26 @@
                 seconds += load.whole_backlog_seconds(now)
                 seconds += 0 if is_kept else _BRISK_SECONDS
             elif is_kept:
-                seconds += _TARGET_PART * demand.target_seconds
+                seconds += _TARGETS * demand.target_seconds
         else:
             seconds += _TURN_SECONDS * running / max(1, ref.slots)
-        return Choice(ref, seconds, unread, running)
+        return Choice(ref, seconds, unread, running, source)
+
+    def _best_holder(
+        self, refs: list[ServerRef], demand: Demand
+    ) -> _Holder | None:
+        if not demand.prompt.parts:
+            return None
+        holders = [
+            _Holder(ref, self._loads.of(ref.key).cache.read_tokens(demand.prompt))
+            for ref in refs
+        ]
+        best = max(holders, key=lambda holder: holder.tokens, default=None)
+        return best if best is not None and best.tokens else None
+
 
-    def _unread(self, ref: ServerRef, demand: Demand) -> int:
-        held = self._loads.of(ref.key).cache.held_tokens(demand.prompt)
-        total = sum(part.tokens for part in demand.prompt.parts)
-        return max(0, max(demand.prompt.input_tokens, total) - held)
+def _total_tokens(prompt: Prompt) -> int:
+    return max(prompt.input_tokens, sum(part.tokens for part in prompt.parts))
 
 
 __all__ = ('Choice', 'Demand', 'PlacementPolicy')
