--- a/src/burdockledge/cli/_app.py
+++ b/src/burdockledge/cli/_app.py
@@ -58,9 +58,10 @@
 
 
 def _overview() -> str:
+    commands = [entry.load() for entry in COMMANDS]
     rows = (
         f'  {" ".join(command.words):<18}{command.summary}'
-        for command in (entry.load() for entry in COMMANDS)
+        for command in commands
     )
     return '\n'.join(
         (
--- a/src/burdockledge/directory/_directory.py
+++ b/src/burdockledge/directory/_directory.py
@@ -43,9 +43,7 @@
             ready = [
                 update for update in self._table.usable() if update.caller_url
             ]
-        near = [
-            update for update in ready if update.data_centre == data_centre
-        ]
+        near = [update for update in ready if update.data_centre == data_centre]
         chosen = near if len(near) >= _LEAST_ADDRESSES else ready
         return self._shuffled(chosen)[:_MOST_ADDRESSES]
 
--- a/src/burdockledge/placement/_broker.py
+++ b/src/burdockledge/placement/_broker.py
@@ -13,8 +13,8 @@
 
 from result import Err, Ok, Result
 
-from burdockledge.kernel import TaskGroupService
 from burdockledge.hashing import rank
+from burdockledge.kernel import TaskGroupService
 from burdockledge.placement._rendezvous import lead_of
 from burdockledge.wire import Grant, Offer, Refusal, Release, Yield
 
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -106,13 +106,15 @@
 
 
 def _check_head(request: BaseRequest, limits: CallerLimits) -> None:
-    headers = request.headers
-    if len(headers.getall('Host', ())) != 1:
-        raise BadCallError(_BAD_REQUEST, 'give one Host header')
-    if len(headers.getall(names.REQUEST_ID, ())) != 1:
-        raise BadCallError(_BAD_REQUEST, f'give one {names.REQUEST_ID} header')
+    for name in ('Host', names.REQUEST_ID):
+        if len(request.headers.getall(name, ())) != 1:
+            raise BadCallError(_BAD_REQUEST, f'give one {name} header')
+    _check_sizes(request, limits)
     if not request.raw_path.startswith('/'):
         raise BadCallError(_BAD_REQUEST, 'the target must be a path')
+
+
+def _check_sizes(request: BaseRequest, limits: CallerLimits) -> None:
     size = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
     if size > limits.header_bytes:
         raise BadCallError(_HEADERS_TOO_LARGE, 'the headers are too large')
--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Annotated, Final, Literal
+from typing import Annotated, Final, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, StrictInt, ValidationError
 
@@ -127,8 +127,7 @@
             version=found.version,
             routes=tuple(_route_of(route) for route in found.routes),
             services={
-                service.name: _service_of(service)
-                for service in found.backends
+                service.name: _service_of(service) for service in found.backends
             },
             teams_by_key=_teams_of(found.tenants or ()),
             limits=CallerLimits(
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -37,12 +37,11 @@
 
     limits = CallerLimits()
 
-    def __call__(self) -> RequestHandler[BaseRequest]:
+    def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return RequestHandler(
             self,
             loop=self._loop,
-            access_log=None,
             auto_decompress=False,
             keepalive_timeout=self.limits.idle_seconds,
             lingering_time=_LINGER_SECONDS,
@@ -151,9 +150,7 @@
             (settings.readiness_address, self._handle_ready),
             (settings.control_address, self._handle_control),
         ):
-            await self._listen(
-                web.Server(handler, access_log=None), address
-            )
+            await self._listen(web.Server(handler, access_log=None), address)
 
     async def stop(self) -> None:
         """Close every listener and connection."""
@@ -207,9 +204,7 @@
             return _empty(_NOT_FOUND)
         return _empty(_OK if self._directory.is_own_ready else _UNAVAILABLE)
 
-    async def _handle_control(
-        self, request: BaseRequest
-    ) -> web.StreamResponse:
+    async def _handle_control(self, request: BaseRequest) -> web.StreamResponse:
         if request.path != names.METRICS_PATH:
             return _empty(_NOT_FOUND)
         return web.Response(text=self._metrics.render())
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 import socket
 from typing import TYPE_CHECKING, Any, Final
@@ -36,7 +35,12 @@
 # Bytes that a server does not acknowledge for so long break the connection.
 _UNACKNOWLEDGED_MS: Final = 1500
 _MISDIRECTED: Final = 421
+# asyncio.TimeoutError is an OSError since Python 3.11.
 _READ_ERRORS: Final = (aiohttp.ClientError, OSError)
+_CONNECT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 _AUTO_HEADERS: Final = (
     'Accept',
     'Accept-Encoding',
@@ -75,7 +79,7 @@
     def __init__(self, **options: Any) -> None:
         """Create a connector without a limit of its own."""
         super().__init__(limit=0, socket_factory=_make_socket, **options)
-        self._factory = functools.partial(_Protocol, loop=self._loop)
+        self._factory: Any = functools.partial(_Protocol, loop=self._loop)
 
 
 def _make_socket(info: Any) -> socket.socket:
@@ -159,14 +163,11 @@
                 data=call.body or None,
                 allow_redirects=False,
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ):
+        except _CONNECT_ERRORS:
             return Err(SendFailure.not_connected)
         except aiohttp.ClientResponseError:
             return Err(SendFailure.garbled)
-        except (*_READ_ERRORS, asyncio.TimeoutError):
+        except (TimeoutError, *_READ_ERRORS):
             return Err(SendFailure.broken)
         return self._checked(call.request_id, response)
 
--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -152,9 +152,7 @@
         ]
         # Pages are no snapshot: what came after the first is read again.
         end = pages[0].end
-        return StreamUpdate(
-            stream, 0, end, 0, _decoded(stream, entries), True
-        )
+        return StreamUpdate(stream, 0, end, 0, _decoded(stream, entries), True)
 
     async def _newest(self, topic: str) -> list[_Newest]:
         pages: list[_Newest] = []
@@ -236,9 +234,7 @@
         StreamEntry(
             entry.key,
             entry.offset,
-            None
-            if entry.content is None
-            else without_heartbeat(entry.content),
+            None if entry.content is None else without_heartbeat(entry.content),
         )
         for entry in entries
     )
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -69,9 +69,8 @@
         :return: whether it changed what is known.
         """
         known = self._entries.get(registration.ref.server)
-        if known is not None and known.gone_at is None:
-            if known.registration == registration:
-                return False
+        if known == _Entry(registration):
+            return False
         self._entries[registration.ref.server] = _Entry(registration)
         return True
 
--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -235,10 +235,10 @@
         document = self._decoder.routing(key, content)
         if document is None:
             return
-        if self._routes is not None:
-            if document.version < self._routes.document.version:
-                _log.warning('Older version left out.', version=document.version)
-                return
+        known = self._routes
+        if known is not None and document.version < known.document.version:
+            _log.warning('Older version left out.', version=document.version)
+            return
         self._routes = RouteIndex(document)
         _log.info(
             'Configuration in force.',
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -18,7 +18,7 @@
 
 
 class SendFailure(enum.Enum):
-    """Why a send gave no answer; only the first two prove that it did not run."""
+    """Why a send gave no answer; the first two prove that it did not run."""
 
     not_connected = 'no connection was made'
     not_sent = 'the connection closed before a byte was sent'
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -20,6 +20,7 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from random import Random
 
     from result import Result
@@ -343,9 +344,7 @@
 
     async def _stream(self, exchange: _Exchange, answer: ServerAnswer) -> None:
         """Pass events on as they arrive; end only behind a whole event."""
-        async for chunk in _bounded(
-            answer, self._stall_limit(exchange)
-        ):
+        async for chunk in _bounded(answer, self._stall_limit(exchange)):
             whole = exchange.events.cut(chunk)
             if not whole:
                 continue
@@ -453,7 +452,9 @@
     result: CallResult
 
 
-async def _bounded(answer: ServerAnswer, limit: float | None):  # type: ignore[no-untyped-def]
+async def _bounded(
+    answer: ServerAnswer, limit: float | None
+) -> AsyncIterator[bytes]:
     """Yield the chunks of an answer; a pause over the limit breaks it."""
     chunks = answer.chunks()
     while True:
--- a/src/burdockledge/replication/_schedule.py
+++ b/src/burdockledge/replication/_schedule.py
@@ -57,7 +57,7 @@
             return due
         wait = _FIRST_RETRY_SECONDS * 2 ** min(self._failures - 1, 8)
         wait = min(wait, _LONGEST_RETRY_SECONDS) * (1 + jitter / 2)
-        return max(due, self._failed_at + wait)
+        return float(max(due, self._failed_at + wait))
 
 
 __all__ = ('ReadSchedule',)
--- a/src/burdockledge/scheduling/_evidence.py
+++ b/src/burdockledge/scheduling/_evidence.py
@@ -94,9 +94,7 @@
         _decay(record, now)
         return record.bad / (record.good + record.bad + _PRIOR_ANSWERS)
 
-    def _note_unreachable(
-        self, record: _Record, host: str, now: float
-    ) -> None:
+    def _note_unreachable(self, record: _Record, host: str, now: float) -> None:
         record.witnesses[host] = now
         recent = [
             witness
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -85,6 +85,15 @@
     source: ServerRef | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """What a server would read of a prompt, and the weighed time of it."""
+
+    unread_tokens: int
+    seconds: float
+    source: ServerRef | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class _Holder:
     """The server that has read most of a prompt."""
@@ -153,36 +162,52 @@
         is_kept: bool,
         holder: _Holder | None,
     ) -> Choice:
-        load = self._loads.of(ref.key)
-        running = load.running(now)
         seconds = self._random.uniform(0, _TIE_SECONDS)
         if ref.data_centre != demand.data_centre:
             seconds += _REMOTE_SECONDS
         seconds += _FAILURE_SECONDS * self._evidence.failure_share(ref.key, now)
-        unread = 0
-        source = None
-        if demand.prompt.parts:
-            held = load.cache.held_tokens(demand.prompt)
-            unread = max(0, _total_tokens(demand.prompt) - held)
-            if holder is not None and holder.ref.key != ref.key:
-                fetched = min(unread, holder.tokens - held)
-                if fetched >= _LEAST_FETCH_TOKENS:
-                    source = holder.ref
-                    unread -= fetched
-                    seconds += (
-                        _REREAD_WEIGHT * _FETCH_PART * fetched / load.speed
-                    )
-            seconds += load.backlog_seconds(demand.tier, now)
-            seconds += _REREAD_WEIGHT * unread / load.speed
-            seconds += _BATCH_SECONDS_A_CALL * running
-            if demand.is_brisk:
-                seconds += load.whole_backlog_seconds(now)
-                seconds += 0 if is_kept else _BRISK_SECONDS
-            elif is_kept:
-                seconds += _TARGETS * demand.target_seconds
-        else:
+        running = self._loads.of(ref.key).running(now)
+        if not demand.prompt.parts:
             seconds += _TURN_SECONDS * running / max(1, ref.slots)
-        return Choice(ref, seconds, unread, running, source)
+            return Choice(ref, seconds, 0, running)
+        reading = self._reading(ref, demand, holder)
+        seconds += reading.seconds
+        seconds += self._waiting_seconds(ref, demand, now, is_kept)
+        seconds += _BATCH_SECONDS_A_CALL * running
+        return Choice(
+            ref, seconds, reading.unread_tokens, running, reading.source
+        )
+
+    def _reading(
+        self, ref: ServerRef, demand: Demand, holder: _Holder | None
+    ) -> _Reading:
+        load = self._loads.of(ref.key)
+        held = load.cache.held_tokens(demand.prompt)
+        unread = max(0, _total_tokens(demand.prompt) - held)
+        fetched = 0
+        if holder is not None and holder.ref.key != ref.key:
+            fetched = min(unread, holder.tokens - held)
+        if fetched < _LEAST_FETCH_TOKENS:
+            return _Reading(unread, _REREAD_WEIGHT * unread / load.speed)
+        unread -= fetched
+        weighed = unread + _FETCH_PART * fetched
+        return _Reading(
+            unread,
+            _REREAD_WEIGHT * weighed / load.speed,
+            None if holder is None else holder.ref,
+        )
+
+    def _waiting_seconds(
+        self, ref: ServerRef, demand: Demand, now: float, is_kept: bool
+    ) -> float:
+        load = self._loads.of(ref.key)
+        seconds = load.backlog_seconds(demand.tier, now)
+        if demand.is_brisk:
+            seconds += load.whole_backlog_seconds(now)
+            return seconds if is_kept else seconds + _BRISK_SECONDS
+        if is_kept:
+            seconds += _TARGETS * demand.target_seconds
+        return seconds
 
     def _best_holder(
         self, refs: list[ServerRef], demand: Demand
@@ -190,7 +215,9 @@
         if not demand.prompt.parts:
             return None
         holders = [
-            _Holder(ref, self._loads.of(ref.key).cache.read_tokens(demand.prompt))
+            _Holder(
+                ref, self._loads.of(ref.key).cache.read_tokens(demand.prompt)
+            )
             for ref in refs
         ]
         best = max(holders, key=lambda holder: holder.tokens, default=None)
--- a/src/burdockledge/wire/_codec.py
+++ b/src/burdockledge/wire/_codec.py
@@ -28,12 +28,12 @@
 def encode_frame(frame: messages.Frame) -> bytes:
     """Encode a frame without its length prefix."""
     raw = ttypes.Frame(
-        offers=to_raw_list(ttypes.Offer, frame.offers),
-        grants=to_raw_list(ttypes.Grant, frame.grants),
-        refusals=to_raw_list(ttypes.Refusal, frame.refusals),
-        releases=to_raw_list(ttypes.Release, frame.releases),
-        yields=to_raw_list(ttypes.Yield, frame.yields),
-        pull=to_raw(ttypes.ConfigurationPull, frame.pull),
+        offers=raw_list_of(ttypes.Offer, frame.offers),
+        grants=raw_list_of(ttypes.Grant, frame.grants),
+        refusals=raw_list_of(ttypes.Refusal, frame.refusals),
+        releases=raw_list_of(ttypes.Release, frame.releases),
+        yields=raw_list_of(ttypes.Yield, frame.yields),
+        pull=raw_of(ttypes.ConfigurationPull, frame.pull),
         heartbeat=frame.heartbeat,
         stamp=frame.stamp,
     )
@@ -43,7 +43,7 @@
             version=frame.state.version,
             document=frame.state.document,
             records=[
-                to_raw(ttypes.ConfigurationRecord, record)
+                raw_of(ttypes.ConfigurationRecord, record)
                 for record in frame.state.records
             ],
         )
@@ -58,12 +58,12 @@
     """
     raw = read_struct(ttypes.Frame(), encoded)
     return messages.Frame(
-        offers=to_typed_list(messages.Offer, raw.offers),
-        grants=to_typed_list(messages.Grant, raw.grants),
-        refusals=to_typed_list(messages.Refusal, raw.refusals),
-        releases=to_typed_list(messages.Release, raw.releases),
-        yields=to_typed_list(messages.Yield, raw.yields),
-        pull=to_typed_optional(messages.ConfigurationPull, raw.pull),
+        offers=typed_list_of(messages.Offer, raw.offers),
+        grants=typed_list_of(messages.Grant, raw.grants),
+        refusals=typed_list_of(messages.Refusal, raw.refusals),
+        releases=typed_list_of(messages.Release, raw.releases),
+        yields=typed_list_of(messages.Yield, raw.yields),
+        pull=typed_optional_of(messages.ConfigurationPull, raw.pull),
         state=_typed_state(raw.state),
         heartbeat=raw.heartbeat,
         stamp=raw.stamp,
@@ -72,7 +72,7 @@
 
 def encode_hello(hello: messages.Hello) -> bytes:
     """Encode the opening message of a link."""
-    return write_struct(to_raw(ttypes.Hello, hello))
+    return write_struct(raw_of(ttypes.Hello, hello))
 
 
 def decode_hello(encoded: bytes) -> messages.Hello:
@@ -81,7 +81,7 @@
 
     :raises WireError: if the bytes are no opening message.
     """
-    return to_typed(messages.Hello, read_struct(ttypes.Hello(), encoded))
+    return typed_of(messages.Hello, read_struct(ttypes.Hello(), encoded))
 
 
 def encode_probe(probe: messages.Probe) -> bytes:
@@ -90,12 +90,12 @@
         ttypes.Probe(
             kind=probe.kind,
             sequence=probe.sequence,
-            sender=to_raw(ttypes.MemberUpdate, probe.sender),
+            sender=raw_of(ttypes.MemberUpdate, probe.sender),
             updates=[
-                to_raw(ttypes.MemberUpdate, update) for update in probe.updates
+                raw_of(ttypes.MemberUpdate, update) for update in probe.updates
             ],
             configuration_offset=probe.configuration_offset,
-            target=to_raw(ttypes.MemberUpdate, probe.target),
+            target=raw_of(ttypes.MemberUpdate, probe.target),
         ),
     )
 
@@ -112,10 +112,10 @@
     return messages.Probe(
         kind=raw.kind,
         sequence=raw.sequence or 0,
-        sender=to_typed(messages.MemberUpdate, raw.sender),
-        updates=to_typed_list(messages.MemberUpdate, raw.updates),
+        sender=typed_of(messages.MemberUpdate, raw.sender),
+        updates=typed_list_of(messages.MemberUpdate, raw.updates),
         configuration_offset=raw.configuration_offset or 0,
-        target=to_typed_optional(messages.MemberUpdate, raw.target),
+        target=typed_optional_of(messages.MemberUpdate, raw.target),
     )
 
 
@@ -141,7 +141,7 @@
     return raw
 
 
-def to_raw(kind: Any, message: object) -> Any:
+def raw_of(kind: Any, message: object) -> Any:
     """Convert a message to its generated struct."""
     if message is None:
         return None
@@ -150,12 +150,12 @@
     )
 
 
-def to_raw_list(kind: Any, items: Iterable[object]) -> Any:
+def raw_list_of(kind: Any, items: Iterable[object]) -> Any:
     """Convert messages to generated structs, None for no message."""
-    return [to_raw(kind, message) for message in items] or None
+    return [raw_of(kind, message) for message in items] or None
 
 
-def to_typed(kind: type[MessageT], raw: Any) -> MessageT:
+def typed_of(kind: type[MessageT], raw: Any) -> MessageT:
     """
     Convert a generated struct to a message.
 
@@ -167,13 +167,13 @@
     return kind(**fields)
 
 
-def to_typed_list(kind: type[MessageT], raws: Any) -> list[MessageT]:
+def typed_list_of(kind: type[MessageT], raws: Any) -> list[MessageT]:
     """Convert generated structs to messages."""
-    return [to_typed(kind, raw) for raw in raws or ()]
+    return [typed_of(kind, raw) for raw in raws or ()]
 
 
-def to_typed_optional(kind: type[MessageT], raw: Any) -> MessageT | None:
-    return None if raw is None else to_typed(kind, raw)
+def typed_optional_of(kind: type[MessageT], raw: Any) -> MessageT | None:
+    return None if raw is None else typed_of(kind, raw)
 
 
 def _typed_state(raw: Any) -> messages.ConfigurationState | None:
@@ -183,7 +183,7 @@
         offset=raw.offset,
         version=raw.version,
         document=raw.document,
-        records=to_typed_list(messages.ConfigurationRecord, raw.records),
+        records=typed_list_of(messages.ConfigurationRecord, raw.records),
     )
 
 
@@ -200,9 +200,9 @@
     'encode_hello',
     'encode_probe',
     'read_struct',
-    'to_raw',
-    'to_raw_list',
-    'to_typed',
-    'to_typed_list',
+    'raw_of',
+    'raw_list_of',
+    'typed_of',
+    'typed_list_of',
     'write_struct',
 )
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -8,11 +8,11 @@
 
 from burdockledge.wire._codec import (
     WireError,
+    raw_list_of,
+    raw_of,
     read_struct,
-    to_raw,
-    to_raw_list,
-    to_typed,
-    to_typed_list,
+    typed_list_of,
+    typed_of,
     write_struct,
 )
 from burdockledge.wire.generated.burdockledge import ttypes
@@ -112,11 +112,11 @@
         ttypes.Note(
             host=note.host,
             updates=[_raw_update(update) for update in note.updates] or None,
-            pulls=to_raw_list(ttypes.StreamPull, note.pulls),
-            started=to_raw_list(ttypes.CallStarted, note.started),
-            heard=to_raw_list(ttypes.CallHeard, note.heard),
-            ended=to_raw_list(ttypes.CallEnded, note.ended),
-            fragment=to_raw(ttypes.Fragment, note.fragment),
+            pulls=raw_list_of(ttypes.StreamPull, note.pulls),
+            started=raw_list_of(ttypes.CallStarted, note.started),
+            heard=raw_list_of(ttypes.CallHeard, note.heard),
+            ended=raw_list_of(ttypes.CallEnded, note.ended),
+            fragment=raw_of(ttypes.Fragment, note.fragment),
         ),
     )
 
@@ -133,13 +133,13 @@
     return Note(
         host=raw.host,
         updates=[_typed_update(update) for update in raw.updates or ()],
-        pulls=to_typed_list(StreamPull, raw.pulls),
-        started=to_typed_list(CallStarted, raw.started),
-        heard=to_typed_list(CallHeard, raw.heard),
-        ended=to_typed_list(CallEnded, raw.ended),
+        pulls=typed_list_of(StreamPull, raw.pulls),
+        started=typed_list_of(CallStarted, raw.started),
+        heard=typed_list_of(CallHeard, raw.heard),
+        ended=typed_list_of(CallEnded, raw.ended),
         fragment=None
         if raw.fragment is None
-        else to_typed(Fragment, raw.fragment),
+        else typed_of(Fragment, raw.fragment),
     )
 
 
@@ -210,9 +210,7 @@
         start=update.start,
         end=update.end,
         age_ms=update.age_ms,
-        entries=[
-            to_raw(ttypes.StreamEntry, entry) for entry in update.entries
-        ],
+        entries=[raw_of(ttypes.StreamEntry, entry) for entry in update.entries],
         is_whole=update.is_whole,
     )
 
