Never match stray bytes of a server to a request

Cause, found by a test on loopback: an answer that came twice stayed in a kept connection and was handed to the next request. Change: a connection on which nothing is asked closes at the first byte; answers to other requests are passed over by their id; a reset marks a body of unknown length as cut. Bad input and spoilt answers have tables.

--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -24,8 +24,13 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import AsyncIterator
 
+    from aiohttp.connector import Connection
+    from aiohttp.http import RawResponseMessage
+    from aiohttp.streams import StreamReader
+
 _log = make_logger('servers')
 
 # Servers of the users answer a new connection within some milliseconds.
@@ -34,6 +39,7 @@
 _KEEP_SECONDS: Final = 3.0
 # Bytes that a server does not acknowledge for so long break the connection.
 _UNACKNOWLEDGED_MS: Final = 1500
+_OK: Final = 200
 _MISDIRECTED: Final = 421
 # asyncio.TimeoutError is an OSError since Python 3.11.
 _READ_ERRORS: Final = (aiohttp.ClientError, OSError)
@@ -53,13 +59,42 @@
     """
     A client connection that answers only what was asked on it.
 
-    Bytes that arrive while nothing is asked, and a reset while a body of
-    unknown length is read, would pass for an answer otherwise.
+    Bytes that arrive while nothing is asked, an answer to another request,
+    and a reset while a body of unknown length is read, would pass for an
+    answer otherwise.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Create a connection on which nothing is asked."""
+        super().__init__(loop=loop)
+        self._is_asked = False
+        self.request_id: str | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Expect an answer from now on."""
+        self._is_asked = True
+        super().set_response_params(**params)
+
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the answer; pass over those to other requests."""
+        while True:
+            message, payload = await super().read()
+            answered = message.headers.get(names.REQUEST_ID)
+            if answered is None or answered == self.request_id:
+                break
+            _log.warning(
+                'Answer to another request.',
+                request=self.request_id,
+                answered=answered,
+            )
+            self.force_close()
+        if message.code >= _OK:
+            payload.on_eof(self._note_end)
+        return message, payload
+
     def data_received(self, data: bytes) -> None:
         """Close the connection on bytes that no request asked for."""
-        if self._parser is None and data:
+        if data and not self._is_asked:
             self.close()
             return
         super().data_received(data)
@@ -72,6 +107,19 @@
             self._parser = None
         super().connection_lost(exc)
 
+    def _note_end(self) -> None:
+        self._is_asked = False
+
+
+class _Request(aiohttp.ClientRequest):
+    """A request that tells its connection which answer it expects."""
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Send the request."""
+        if isinstance(conn.protocol, _Protocol):
+            conn.protocol.request_id = self.headers.get(names.REQUEST_ID)
+        return await super().send(conn)
+
 
 class _Connector(aiohttp.TCPConnector):
     """Makes connections of the protocol above."""
@@ -135,6 +183,7 @@
         """Create a client; call it on a running loop."""
         self._session = aiohttp.ClientSession(
             connector=_Connector(keepalive_timeout=_KEEP_SECONDS),
+            request_class=_Request,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
@@ -169,20 +218,6 @@
             return Err(SendFailure.garbled)
         except (TimeoutError, *_READ_ERRORS):
             return Err(SendFailure.broken)
-        return self._checked(call.request_id, response)
-
-    def _checked(
-        self, request_id: str, response: aiohttp.ClientResponse
-    ) -> Result[ServerAnswer, SendFailure]:
-        answered = response.headers.get(names.REQUEST_ID)
-        if answered is not None and answered != request_id:
-            _log.warning(
-                'Answer to another request.',
-                request=request_id,
-                answered=answered,
-            )
-            response.close()
-            return Err(SendFailure.garbled)
         return Ok(_HttpAnswer(response))
 
 
--- a/src/burdockledge/scheduling/_brisk.py
+++ b/src/burdockledge/scheduling/_brisk.py
@@ -31,6 +31,8 @@
 # Part of an engine that brisk calls fill before they get another one.
 _FILL: Final = 0.4
 _LARGEST_PART: Final = 0.5
+# Less than one call in some seconds keeps no engine.
+_LEAST_DEMAND: Final = 0.005
 
 
 class BriskDemand:
@@ -52,6 +54,8 @@
         self._decay(now)
         most = int(len(servers) * _LARGEST_PART)
         demand = self._work / _DEMAND_SECONDS
+        if demand < _LEAST_DEMAND:
+            return frozenset()
         count = min(most, math.ceil(demand / _FILL))
         return frozenset(rank('brisk', servers)[:count])
 
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,346 @@
+"""Callers and servers of the platform, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+
+from burdockledge.clock import SystemClock
+from burdockledge.directory import Directory
+from burdockledge.membership import MemberTable
+from burdockledge.platform import Front, HttpServerClient
+from burdockledge.relay import Placed, Relay, ServerRef
+from burdockledge.settings import RelayHostSettings
+from burdockledge.telemetry import Metrics
+from burdockledge.wire import MemberStatus, MemberUpdate
+from tests.platform.standin import (
+    Handler,
+    StandInServer,
+    answer,
+    exchange,
+    header,
+    reset,
+)
+from tests.relay.test_relay import FakeKnowledge
+
+
+class OneServer(FakeKnowledge):
+    """Knows the stand-in server only, however often it was tried."""
+
+    ref: ServerRef
+
+    def place(self, *_: object) -> Placed | None:
+        """Choose the stand-in."""
+        return Placed(1, self.ref, 0, 0, 0)
+
+
+def free_address() -> str:
+    """Return an address that nobody listens on."""
+    with socket.socket() as found:
+        found.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{found.getsockname()[1]}'
+
+
+def settings() -> RelayHostSettings:
+    """Return settings on free ports."""
+    front, ready, directory, control, peer = (free_address() for _ in range(5))
+    return RelayHostSettings(
+        'own', 'dc', front, ready, directory, control, peer, 1, (), 'none:1',
+        2, 2, 8, 0.2, 50, 10, 2,
+    )  # fmt: skip
+
+
+@dataclass
+class Site:
+    """A front, its relay and one stand-in server."""
+
+    settings: RelayHostSettings
+    server: StandInServer
+    table: MemberTable
+    front: Front
+
+    async def ask(self, request: bytes, seconds: float = 0.7) -> bytes:
+        """Send bytes to the callers' address."""
+        return await exchange(self.settings.caller_address, request, seconds)
+
+
+def with_site(
+    handler: Handler, test: Callable[[Site], Awaitable[None]]
+) -> None:
+    """Run a test against a front and a stand-in server."""
+
+    async def run() -> None:
+        server = StandInServer(handler)
+        await server.start()
+        knowledge = OneServer()
+        knowledge.ref = ServerRef('s1', 1, 'book', server.address, 'dc', 6)
+        client = HttpServerClient()
+        used = settings()
+        own = MemberUpdate(
+            'own', used.peer_address, used.caller_address, 'dc', 1, 0,
+            MemberStatus.alive,
+        )  # fmt: skip
+        table = MemberTable(own, 0)
+        metrics = Metrics()
+        relay = Relay(knowledge, client, SystemClock(), Random(1), metrics)
+        front = Front(used, relay, Directory(table, Random(1)), metrics)
+        await front.start()
+        try:
+            await test(Site(used, server, table, front))
+        finally:
+            await front.stop()
+            await client.close()
+            await server.stop()
+
+    asyncio.run(run())
+
+
+async def fine(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer every request."""
+    writer.write(answer(head))
+
+
+def request(path: str = '/safe/x', extra: str = '', body: bytes = b'') -> bytes:
+    """Return the bytes of a proper request."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: h',
+        'Burdockledge-Request-Id: r1',
+        'Burdockledge-Deadline-Ms: 1500',
+        'Authorization: Token key',
+        f'Content-Length: {len(body)}',
+    )
+    return ('\r\n'.join(lines) + f'\r\n{extra}\r\n').encode() + body
+
+
+def test_a_call_and_its_answer_pass_unchanged() -> None:
+    """Method, path, query, body, id and signature are as they were sent."""
+
+    async def test(site: Site) -> None:
+        extra = (
+            'X-Own: a, b\r\nBurdockledge-Tenant: other\r\n'
+            'Kv-From: 1.2.3.4:5/x\r\nBurdockledge-Request-Urgency: 0\r\n'
+        )
+        path = '/safe/a%2Fb/../c?q=%20x&y'
+        found = await site.ask(request(path, extra, b'\x00body'))
+        head, body = site.server.seen[0]
+        assert head.startswith(f'POST {path} HTTP/1.1\r\n'.encode())
+        assert body == b'\x00body'
+        assert header(head, 'X-Own') == 'a, b'
+        assert header(head, 'Burdockledge-Request-Id') == 'r1'
+        assert header(head, 'Burdockledge-Tenant') == 'team'
+        assert header(head, 'Burdockledge-Expect-Instance') == 's1'
+        assert header(head, 'Burdockledge-Request-Urgency') == '1'
+        assert header(head, 'Kv-From') is None
+        assert header(head, 'Authorization') is None
+        assert 0 < int(header(head, 'Burdockledge-Deadline-Ms') or 0) <= 1500
+        assert found.startswith(b'HTTP/1.1 200 OK')
+        assert b'Burdockledge-Response-Seal: seal.1\r\n' in found
+        assert found.endswith(b'\r\n\r\nfine')
+
+    with_site(fine, test)
+
+
+BAD: list[tuple[str, bytes, int]] = [
+    ('no host', b'GET /safe/x HTTP/1.1\r\nBurdockledge-Request-Id: r\r\n\r\n',
+     400),
+    ('two hosts', request(extra='Host: other\r\n'), 400),
+    ('no id', b'GET /safe/x HTTP/1.1\r\nHost: h\r\n\r\n', 400),
+    ('two ids', request(extra='Burdockledge-Request-Id: r2\r\n'), 400),
+    ('bad time limit', request().replace(b'1500', b'soon'), 400),
+    ('two lengths', request(extra='Content-Length: 5\r\n'), 400),
+    ('length and chunks', request(extra='Transfer-Encoding: chunked\r\n'),
+     400),
+    ('bad length', request().replace(b'Length: 0', b'Length: -1'), 400),
+    ('bad chunk', request().replace(b'Content-Length: 0',
+     b'Transfer-Encoding: chunked') + b'zz\r\n', 400),
+    ('a proxy target', request('http://other/safe/x'), 400),
+    ('no request at all', b'\x16\x03\x01 hello\r\n\r\n', 400),
+    ('a large header', request(extra=f'X: {"x" * 20_000}\r\n'), 400),
+    ('many headers', request(extra=f'X: {"x" * 900}\r\n' * 20), 431),
+    ('a large body', request().replace(b'Length: 0', b'Length: 9999999'), 413),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [row[1:] for row in BAD],
+    ids=[row[0] for row in BAD],
+)
+def test_bad_input_runs_nothing(sent: bytes, status: int) -> None:
+    """Each kind of bad input gets a clear error, and no server sees it."""
+
+    async def test(site: Site) -> None:
+        found = await site.ask(sent)
+        assert site.server.seen == []
+        assert found.startswith(f'HTTP/1.1 {status} '.encode()) or (
+            status == 400 and found.startswith(b'HTTP/1.0 400')
+        )
+
+    with_site(fine, test)
+
+
+async def twice(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer, and a little later answer again."""
+    writer.write(answer(head, b'first'))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.write(answer(head, b'again'))
+
+
+OTHER = b'X\r\nBurdockledge-Request-Id: other\r\n'
+
+
+async def another_answer(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer another request only."""
+    writer.write(answer(OTHER, b'wrong'))
+    await writer.drain()
+    writer.close()
+
+
+async def late_answer_first(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer another request, then the one that was asked."""
+    writer.write(answer(OTHER, b'wrong') + answer(head, b'right'))
+
+
+async def unframed_reset(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send a body without a length and reset the connection."""
+    writer.write(answer(head, b'half').replace(b'Content-Length: 4\r\n', b''))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def unframed_whole(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send a body without a length and close the connection."""
+    writer.write(answer(head, b'whole').replace(b'Content-Length: 5\r\n', b''))
+    await writer.drain()
+    writer.close()
+
+
+async def short(
+    head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Close before the whole length was sent."""
+    writer.write(answer(head, b'whole')[:-2])
+    await writer.drain()
+    writer.close()
+
+
+async def noise(
+    _: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send bytes that are no answer."""
+    writer.write(b'\x00\x01 no answer \r\n\r\n')
+
+
+@pytest.mark.parametrize(
+    ('handler', 'status', 'body'),
+    [
+        (twice, 200, b'first'),
+        (another_answer, 502, None),
+        (late_answer_first, 200, b'right'),
+        (unframed_reset, 502, None),
+        (unframed_whole, 200, b'whole'),
+        (short, 502, None),
+        (noise, 502, None),
+    ],
+)
+def test_what_servers_spoil(
+    handler: Handler, status: int, body: bytes | None
+) -> None:
+    """A spoilt answer reaches nobody, and a kept one is the right one."""
+
+    async def test(site: Site) -> None:
+        for _ in range(2):
+            found = await site.ask(request('/unsafe/x'), 0.4)
+            assert found.startswith(f'HTTP/1.1 {status} '.encode())
+            assert body is None or found.endswith(body)
+            assert (b'Response-Seal' in found) is (status == 200)
+            await asyncio.sleep(0.1)
+
+    with_site(handler, test)
+
+
+def test_a_kept_connection_is_used_again() -> None:
+    """Calls that follow each other share a connection to the server."""
+
+    async def test(site: Site) -> None:
+        await site.ask(request() * 3, 0.3)
+        assert len(site.server.seen) == 3
+        assert site.server.connections == 1
+
+    with_site(fine, test)
+
+
+async def silent(
+    _: bytes, reader: asyncio.StreamReader, __: asyncio.StreamWriter
+) -> None:
+    """Answer nothing until the other side leaves."""
+    assert await reader.read() == b''
+
+
+def test_the_end_of_a_caller_reaches_the_server() -> None:
+    """The server's connection closes soon after the caller's."""
+
+    async def test(site: Site) -> None:
+        await site.ask(request('/unsafe/x'), 0.2)
+        async with asyncio.timeout(0.5):
+            while site.front._relay.in_flight:  # noqa: SLF001
+                await asyncio.sleep(0.01)
+
+    with_site(silent, test)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'ready', 'listed'),
+    [
+        ({}, b'200', b'200'),
+        ({'leaves': True}, b'503', b'200'),
+        ({'starts': True}, b'503', b'503'),
+    ],
+)
+def test_readiness_and_the_directory(
+    changes: dict[str, bool], ready: bytes, listed: bytes
+) -> None:
+    """A host that starts or leaves takes no new callers."""
+
+    async def test(site: Site) -> None:
+        if changes.get('starts'):
+            site.table.advertise('', 1)
+        if changes.get('leaves'):
+            peer = MemberUpdate(
+                'peer', 'p:1', '1.2.3.4:5', 'dc', 1, 0, MemberStatus.alive
+            )
+            site.table.apply(peer, 1)
+            site.table.leave(1)
+        ask = b'GET /burdockledge/%s HTTP/1.1\r\nHost: h\r\n\r\n'
+        found = await exchange(
+            site.settings.readiness_address, ask % b'ready', 0.2
+        )
+        assert found.startswith(b'HTTP/1.1 ' + ready)
+        found = await exchange(
+            site.settings.directory_address, ask % b'resolve?zone=dc', 0.2
+        )
+        assert found.startswith(b'HTTP/1.1 ' + listed)
+        own = site.settings.caller_address.encode()
+        assert (own in found) is not bool(changes)
+
+    with_site(fine, test)
--- /dev/null
+++ b/tests/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
