--- a/src/burdockledge/cli/_host.py
+++ b/src/burdockledge/cli/_host.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from pydantic import Field
+from result import Err
 
 from burdockledge.cli._command import (
     Command,
@@ -14,7 +15,12 @@
 )
 from burdockledge.host import serve_host
 from burdockledge.peers import PeerKeys, PeerKeysError
-from burdockledge.settings import CommaList, CommandSettings
+from burdockledge.platform import load_host_settings
+from burdockledge.settings import (
+    CommaList,
+    CommandSettings,
+    RelayHostSettings,
+)
 from burdockledge.telemetry import configure_logs
 
 
@@ -43,17 +49,24 @@
 
     def run(self, settings: HostSettings) -> ExitCode:
         """Serve until the planned stop is done."""
-        configure_logs(settings.log_level, '')
+        loaded = load_host_settings(settings.settings_file)
+        if isinstance(loaded, Err):
+            print_error(f'settings_file: {loaded.err_value}')
+            return ExitCode.usage
+        host = loaded.ok_value
+        configure_logs(settings.log_level, host.host)
         try:
             keys = PeerKeys(settings.peer_keys, None)
-            return run_async(self._serve(settings.settings_file, keys))
+            return run_async(self._serve(host, settings.settings_file, keys))
         except (OSError, PeerKeysError) as error:
             print_error(f'the host can not start: {error}')
             return ExitCode.failed
 
-    async def _serve(self, path: Path, keys: PeerKeys) -> ExitCode:
-        is_usable = await serve_host(path, keys)
-        return ExitCode.ok if is_usable else ExitCode.usage
+    async def _serve(
+        self, host: RelayHostSettings, path: Path, keys: PeerKeys
+    ) -> ExitCode:
+        await serve_host(host, path, keys)
+        return ExitCode.ok
 
 
 __all__ = ('Host',)
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -199,19 +199,12 @@
             _log.info('Ready.', version=routes.document.version)
 
 
-async def serve_host(path: Path, keys: PeerKeys) -> bool:
-    """
-    Run an entry host until it is told to stop.
-
-    :return: whether the settings could be used.
-    """
-    loaded = load_host_settings(path)
-    if isinstance(loaded, Err):
-        _log.error('Settings can not be used.', why=loaded.err_value)
-        return False
+async def serve_host(
+    settings: RelayHostSettings, path: Path, keys: PeerKeys
+) -> None:
+    """Run an entry host until it is told to stop; its settings may change."""
     async with aiohttp.ClientSession() as session:
-        await _run(RelayHost(loaded.ok_value, keys, session), path)
-    return True
+        await _run(RelayHost(settings, keys, session), path)
 
 
 async def _run(host: RelayHost, path: Path) -> None:
--- a/src/burdockledge/telemetry/_logs.py
+++ b/src/burdockledge/telemetry/_logs.py
@@ -1,13 +1,17 @@
-"""Structured logs: JSON lines on standard error, a prefix for each part."""
+"""Structured logs: JSON lines on standard output, a prefix for each part."""
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
-from typing import Final
+import time
+from typing import Any, Final
 
 import structlog
 
+from burdockledge.telemetry._lines import LineWriter
+
 Logger = structlog.typing.FilteringBoundLogger
 
 _LEVELS: Final = {
@@ -16,33 +20,83 @@
     'warning': logging.WARNING,
     'error': logging.ERROR,
 }
+_MS: Final = 1000
+_LIBRARY_CHARACTERS: Final = 300
+
+
+class _LineLogger:
+    """The end of structlog's chain: one method a level."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        self._writer = writer
+
+    def debug(self, line: str) -> None:
+        """Write a line of level debug."""
+        self._writer.write('debug', line)
+
+    def info(self, line: str) -> None:
+        """Write a line of level info."""
+        self._writer.write('info', line)
+
+    def warning(self, line: str) -> None:
+        """Write a line of level warning."""
+        self._writer.write('warning', line)
+
+    def error(self, line: str) -> None:
+        """Write a line of level error."""
+        self._writer.write('error', line)
+
+    critical = error
+    exception = error
+
+
+class _LibraryHandler(logging.Handler):
+    """Hands what libraries log to the same lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one record, with the type of its exception."""
+        error = record.exc_info[1] if record.exc_info else None
+        make_logger(record.name).warning(
+            record.getMessage()[:_LIBRARY_CHARACTERS],
+            error=None if error is None else repr(error),
+        )
 
 
 def configure_logs(level: str, host: str) -> None:
     """Write JSON lines of at least a level, each with the host's name."""
+    writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            _add_prefix,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=[_render(host)],
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=lambda *_: _LineLogger(writer),
+        cache_logger_on_first_use=True,
+    )
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
     )
-    structlog.contextvars.bind_contextvars(host=host)
-
-
-def _add_prefix(
-    _logger: object,
-    _method: str,
-    event: structlog.typing.EventDict,
-) -> structlog.typing.EventDict:
-    """Begin each line's sentence with the fixed prefix of its part."""
-    part = event.pop('part', 'process')
-    event['event'] = f'[{part}] {event["event"]}'
-    return event
+
+
+def _render(host: str) -> Any:
+    """Return a processor that renders a line with prefix, level and time."""
+
+    def render(
+        _logger: object,
+        method: str,
+        event: structlog.typing.EventDict,
+    ) -> str:
+        part = event.pop('part', 'process')
+        text = event.pop('event')
+        line = {
+            'at_ms': time.time_ns() // 1_000_000,
+            'up_ms': int(time.monotonic() * _MS),
+            'host': host,
+            'level': method,
+            'event': f'[{part}] {text}',
+            **event,
+        }
+        return json.dumps(line, default=str)
+
+    return render
 
 
 def make_logger(part: str) -> Logger:
--- a/tests/cli/test_app.py
+++ b/tests/cli/test_app.py
@@ -8,7 +8,7 @@
 
 from burdockledge import VERSION
 from burdockledge.cli import ExitCode, main
-from burdockledge.cli._registry import COMMANDS
+from burdockledge.cli._registry import COMMANDS, CommandEntry
 from burdockledge.settings import describe_settings
 
 
@@ -55,9 +55,17 @@
 
 
 @pytest.mark.parametrize(
-    'command', COMMANDS, ids=lambda one: ' '.join(one.words)
+    'command',
+    [entry.load() for entry in COMMANDS],
+    ids=lambda one: ' '.join(one.words),
 )
 def test_every_setting_is_described(command) -> None:
     """No flag is without a text for people."""
     for row in describe_settings(command.settings_model):
         assert row.text, row.flag
+
+
+@pytest.mark.parametrize('entry', COMMANDS, ids=lambda one: ' '.join(one.words))
+def test_the_words_of_an_entry_are_its_commands(entry: CommandEntry) -> None:
+    """A command is found by the words that it has itself."""
+    assert entry.load().words == entry.words
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -65,3 +65,11 @@
     random = Random(1)
     sizes = {len(made.spread(random)) for _ in range(200)}
     assert sizes == {6}
+
+
+def test_a_host_tells_when_it_is_ready() -> None:
+    """The address of callers is news of a newer incarnation."""
+    made = table()
+    made.advertise('10.0.0.1:80', 1)
+    assert made.own.caller_url == '10.0.0.1:80'
+    assert made.own.incarnation == 1
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,9 +24,7 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0
-        )
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
@@ -425,7 +425,10 @@
         routes=(replace(SAFE, tier=route),),
         teams_by_key={'key': Team('team', team)},
     )
-    index: Callable[[Any], RouteIndex] = lambda _: RouteIndex(document)
+
+    def index(_: Any) -> RouteIndex:
+        return RouteIndex(document)
+
     monkeypatch.setattr(FakeKnowledge, 'routes', index)
     found = play(call('/safe/x'), OK)
     assert found.client.sent[0].urgency == urgency
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -93,7 +93,9 @@
 def test_cold_caches_different_parts_are_spread() -> None:
     """First seconds: cold parts go to engines that read nothing yet."""
     fleet = Fleet()
-    places = Counter(fleet.place(long_call(part, part + 50)) for part in range(5))
+    places = Counter(
+        fleet.place(long_call(part, part + 50)) for part in range(5)
+    )
     assert len(places) == 5
 
 
