--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
@@ -92,11 +93,16 @@
         self._policy = PlacementPolicy(self._loads, self._evidence, random)
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
+        self._ready = asyncio.Event()
         self.host_count: Callable[[], int] = lambda: 1
         self.on_routes: Callable[[RouteIndex], None] | None = None
         exchange.on_change = self._fold
         exchange.on_calls = self._fold_calls
 
+    async def wait_ready(self) -> None:
+        """Wait until the routes and the servers are known."""
+        await self._ready.wait()
+
     def routes(self) -> RouteIndex | None:
         """Return the routes in force, None before the first version."""
         return self._routes
@@ -201,6 +207,9 @@
                 self._fold_server(entry, now)
             elif entry.content is not None:
                 self._fold_routing(entry.key, entry.content)
+        if self._routes is not None:
+            if self._exchange.state(SERVERS_STREAM).is_known:
+                self._ready.set()
         if changed:
             self._loads.keep(self._registry.all_refs(now))
 
--- a/src/burdockledge/relay/_knowledge.py
+++ b/src/burdockledge/relay/_knowledge.py
@@ -34,6 +34,10 @@
     def routes(self) -> RouteIndex | None:
         """Return the routes in force, None before the first version."""
 
+    @abstractmethod
+    async def wait_ready(self) -> None:
+        """Wait until the routes and the servers are known."""
+
     @abstractmethod
     def place(
         self,
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -33,6 +34,7 @@
         ServerAnswer,
         ServerClient,
     )
+    from burdockledge.relay._routes import RouteIndex
     from burdockledge.relay._types import ForwardedCall, Route, Team
     from burdockledge.telemetry import Metrics
 
@@ -52,6 +54,9 @@
 _MAX_SENDS: Final = 4
 # Callers that are refused for want of a server come back after this, spread.
 _RETRY_AFTER_SECONDS: Final = 0.5
+# A call to a starting host waits this long for its configuration: a read of
+# the store and its retry.
+_START_SECONDS: Final = 1.0
 # An idempotent call that hears nothing for this multiple of its target is
 # sent to another server.
 _SILENCE_TARGETS: Final = 2.0
@@ -142,7 +147,7 @@
 
     async def _handle(self, call: ForwardedCall, caller: CallerPort) -> None:
         arrived_at = self._clock.monotonic()
-        routes = self._knowledge.routes()
+        routes = await self._routes_in_force()
         if routes is None:
             await self._refuse(call, caller, 'no configuration yet')
             return
@@ -166,6 +171,13 @@
         )
         await self._serve(exchange, patience)
 
+    async def _routes_in_force(self) -> RouteIndex | None:
+        """Return the routes; a starting host has them within moments."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_START_SECONDS):
+                await self._knowledge.wait_ready()
+        return self._knowledge.routes()
+
     async def _serve(self, exchange: _Exchange, patience: float) -> None:
         try:
             async with asyncio.timeout(patience):
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -21,8 +21,9 @@
 
 _log = make_logger('reader')
 
-# A starting host gives its peers this long, at most, to tell it the streams.
-_START_SECONDS: Final = 0.5
+# A starting host gives its peers this long, at most, to tell it the streams:
+# some round trips between data centres.
+_START_SECONDS: Final = 0.1
 _SHORTEST_SLEEP_SECONDS: Final = 0.02
 _REGISTER_RETRY_SECONDS: Final = 1.0
 # A store that failed is lost after this many reads in a row.
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -137,6 +137,15 @@
     has_routes: bool = True
     servers: int = 3
     results: list[CallResult] = field(default_factory=list)
+    ready_after: float | None = None
+
+    async def wait_ready(self) -> None:
+        """Become ready after a while, if ever."""
+        if self.ready_after is None:
+            await asyncio.sleep(0 if self.has_routes else 60)
+        else:
+            await asyncio.sleep(self.ready_after)
+            self.has_routes = True
 
     def routes(self) -> RouteIndex | None:
         """Return the test's routes."""
@@ -317,6 +326,19 @@
     assert found.client.sent == []
 
 
+@pytest.mark.parametrize(
+    ('ready_after', 'status', 'seconds'), [(0.3, 200, 0.3), (9.0, 503, 1.0)]
+)
+def test_calls_to_a_starting_host_wait_a_little(
+    ready_after: float, status: int, seconds: float
+) -> None:
+    """A host that starts learns its configuration within moments."""
+    knowledge = FakeKnowledge(has_routes=False, ready_after=ready_after)
+    found = play(call('/unsafe/x'), OK, knowledge=knowledge)
+    assert found.caller.status == status
+    assert found.seconds == pytest.approx(seconds)
+
+
 def test_an_empty_budget_ends_repeats() -> None:
     """A repeat needs room in the budget."""
     found = play(
