--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -207,9 +207,9 @@
                 self._fold_server(entry, now)
             elif entry.content is not None:
                 self._fold_routing(entry.key, entry.content)
-        if self._routes is not None:
-            if self._exchange.state(SERVERS_STREAM).is_known:
-                self._ready.set()
+        servers = self._exchange.state(SERVERS_STREAM)
+        if self._routes is not None and servers.is_known:
+            self._ready.set()
         if changed:
             self._loads.keep(self._registry.all_refs(now))
 
--- a/src/burdockledge/scheduling/_brisk.py
+++ b/src/burdockledge/scheduling/_brisk.py
@@ -29,7 +29,9 @@
 _TOKEN_SECONDS: Final = 0.0001
 _DEMAND_SECONDS: Final = 2.0
 # Part of an engine that brisk calls fill before they get another one.
-_FILL: Final = 0.4
+_FILL: Final = 0.6
+# Answers end well before the most tokens that they may have.
+_OUTPUT_PART: Final = 0.3
 _LARGEST_PART: Final = 0.5
 # Less than one call in some seconds keeps no engine.
 _LEAST_DEMAND: Final = 0.005
@@ -47,7 +49,7 @@
         """Count a brisk call that any host sent."""
         self._decay(now)
         self._work += call.unread_tokens / PREFILL_TOKENS_PER_SECOND
-        self._work += call.output_tokens * _TOKEN_SECONDS
+        self._work += call.output_tokens * _OUTPUT_PART * _TOKEN_SECONDS
 
     def engines(self, servers: Sequence[str], now: float) -> frozenset[str]:
         """Return the servers that are kept for brisk calls."""
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -47,6 +47,8 @@
 _BRISK_SECONDS: Final = 0.15
 # Other calls enter these engines when that saves this many targets.
 _TARGETS: Final = 0.5
+# With fewer streams on such an engine there is less harm in entering it.
+_BRISK_CROWD: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,7 +208,8 @@
             seconds += load.whole_backlog_seconds(now)
             return seconds if is_kept else seconds + _BRISK_SECONDS
         if is_kept:
-            seconds += _TARGETS * demand.target_seconds
+            hurt = min(1.0, load.running(now) / _BRISK_CROWD)
+            seconds += hurt * _TARGETS * demand.target_seconds
         return seconds
 
     def _best_holder(
