--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -45,8 +45,8 @@
 _TIE_SECONDS: Final = 0.0002
 # A brisk call leaves the engines kept for it when they are this much worse.
 _BRISK_SECONDS: Final = 0.15
-# Other calls enter these engines when that saves this many targets.
-_TARGETS: Final = 0.5
+# Other calls enter these engines when that saves this many of their targets.
+_TARGETS: Final = 1.0
 # With fewer streams on such an engine there is less harm in entering it.
 _BRISK_CROWD: Final = 4
 
