--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -216,7 +216,7 @@
             return Err(SendFailure.not_connected)
         except aiohttp.ClientResponseError:
             return Err(SendFailure.garbled)
-        except (TimeoutError, *_READ_ERRORS):
+        except _READ_ERRORS:
             return Err(SendFailure.broken)
         return Ok(_HttpAnswer(response))
 
