Name servers by short numbers in notes, and tell many hosts less often

Change: a server's key is told as a 32-bit number, a call's number has 31 bits, and beyond 12 hosts notes wait 4 ms a host.

--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -18,7 +18,7 @@
 _TOO_LARGE: Final = 413
 _HEADERS_TOO_LARGE: Final = 431
 _MS: Final = 1000
-_PART_MASK: Final = (1 << 62) - 1
+_PART_MASK: Final = (1 << 32) - 1
 # Headers that concern one connection only (RFC 9110, section 7.6.1), and
 # those that the next hop sets by itself.
 _HOP_HEADERS: Final = frozenset(
--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -20,7 +20,13 @@
     PlacementPolicy,
 )
 from burdockledge.telemetry import make_logger
-from burdockledge.wire import CallEnded, CallHeard, CallStarted, StreamEntry
+from burdockledge.wire import (
+    CallEnded,
+    CallHeard,
+    CallStarted,
+    StreamEntry,
+    server_number,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -36,7 +42,10 @@
 CONFIGURATION_STREAM: Final = 'configuration'
 SERVERS_STREAM: Final = 'servers'
 STREAMS: Final = (CONFIGURATION_STREAM, SERVERS_STREAM)
-_CALL_BITS: Final = 62
+# Short numbers keep notes small; two calls of one server within some seconds
+# are unlikely to share one.
+_RESULTS: Final = frozenset(CallResult)
+_CALL_BITS: Final = 31
 
 
 class RecordDecoder(ABC):
@@ -94,6 +103,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
+        # Keys of the registered servers by their numbers in notes.
+        self._keys: dict[int, str] = {}
         self.host_count: Callable[[], int] = lambda: 1
         self.on_routes: Callable[[RouteIndex], None] | None = None
         exchange.on_change = self._fold
@@ -157,14 +168,18 @@
         server = placed.ref.key
         self._evidence.proved(server, now)
         self._loads.hear(server, placed.call, now)
-        self._exchange.announce_first(CallHeard(placed.call, server))
+        self._exchange.announce_first(
+            CallHeard(placed.call, server_number(server))
+        )
 
     def ended(self, placed: Placed, result: int) -> None:
         """Note how a placed call ended, and tell the others."""
         server = placed.ref.key
         self._loads.end(server, placed.call)
         self._note_result(server, result, self._host)
-        self._exchange.announce_end(CallEnded(placed.call, server, result))
+        self._exchange.announce_end(
+            CallEnded(placed.call, server_number(server), result)
+        )
 
     def note_first(self, service: str) -> None:
         """Count the first send of a call in the retry budget."""
@@ -211,7 +226,9 @@
         if self._routes is not None and servers.is_known:
             self._ready.set()
         if changed:
-            self._loads.keep(self._registry.all_refs(now))
+            refs = self._registry.all_refs(now)
+            self._loads.keep(refs)
+            self._keys = {server_number(ref.key): ref.key for ref in refs}
 
     def _fold_server(self, entry: StreamEntry, now: float) -> None:
         found = None
@@ -264,24 +281,29 @@
     def _fold_calls(self, note: Note) -> None:
         now = self._clock.monotonic()
         for told in note.started:
-            start = _heard(told)
+            server = self._keys.get(told.server)
+            if server is None:
+                continue
+            start = _heard(told, server)
             self._loads.start(start, now)
             service = self._registry.service_of(start.server)
             if service is not None:
                 self._policy.note_start(service, start, now)
         for heard in note.heard:
-            self._loads.hear(heard.server, heard.call, now)
+            self._loads.hear(self._keys.get(heard.server, ''), heard.call, now)
         for end in note.ended:
-            self._loads.end(end.server, end.call)
-            if end.result in set(CallResult):
-                self._note_result(end.server, end.result, note.host)
+            server = self._keys.get(end.server)
+            if server is None or end.result not in _RESULTS:
+                continue
+            self._loads.end(server, end.call)
+            self._note_result(server, end.result, note.host)
 
 
 def _told(start: CallStart) -> CallStarted:
     parts = start.prompt.parts
     return CallStarted(
         start.call,
-        start.server,
+        server_number(start.server),
         start.tier,
         start.unread_tokens,
         [part.part for part in parts],
@@ -291,11 +313,11 @@
     )
 
 
-def _heard(told: CallStarted) -> CallStart:
+def _heard(told: CallStarted, server: str) -> CallStart:
     pairs = zip(told.parts, told.part_tokens, strict=False)
     return CallStart(
         told.call,
-        told.server,
+        server,
         told.tier,
         told.unread_tokens,
         Prompt(tuple(PromptPart(part, tokens) for part, tokens in pairs)),
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -41,6 +41,10 @@
 _START_FLUSH_SECONDS: Final = 0.001
 _FIRST_FLUSH_SECONDS: Final = 0.02
 _END_FLUSH_SECONDS: Final = 0.05
+# Every host hears every other: beyond some hosts each is told less often, so
+# that datagrams a second stay nearly flat.
+_FEW_HOSTS: Final = 12
+_FLUSH_SECONDS_A_HOST: Final = 0.004
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
 LoadListener = Callable[[Note], None]
@@ -152,6 +156,9 @@
         self._send(address, Note(self._host, pulls=pulls))
 
     def _flush_within(self, seconds: float) -> None:
+        """Send within some time, longer where many hosts are told."""
+        beyond = len(self.addresses()) - _FEW_HOSTS
+        seconds = max(seconds, beyond * _FLUSH_SECONDS_A_HOST)
         loop = asyncio.get_running_loop()
         if self._flush is not None:
             if self._flush.when() <= loop.time() + seconds:
--- a/src/burdockledge/wire/__init__.py
+++ b/src/burdockledge/wire/__init__.py
@@ -41,6 +41,7 @@
     StreamUpdate,
     decode_note,
     encode_note,
+    server_number,
     split_note,
 )
 
@@ -78,6 +79,7 @@
     'encode_frame',
     'encode_hello',
     'encode_note',
+    'server_number',
     'encode_probe',
     'split_note',
 )
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+import xxhash
+
 from burdockledge.wire._codec import (
     WireError,
     raw_list_of,
@@ -57,7 +59,7 @@
     """A call that a host sent to a backend server."""
 
     call: int
-    server: str
+    server: int
     tier: int
     unread_tokens: int
     parts: list[int]
@@ -71,7 +73,7 @@
     """The first event of a call arrived: its prompt was read."""
 
     call: int
-    server: str
+    server: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +81,7 @@
     """How a call of a host ended at a backend server."""
 
     call: int
-    server: str
+    server: int
     result: int
 
 
@@ -106,6 +108,11 @@
     fragment: Fragment | None = None
 
 
+def server_number(key: str) -> int:
+    """Return the short number by which notes name a server's key."""
+    return xxhash.xxh32_intdigest(key.encode())
+
+
 def encode_note(note: Note) -> bytes:
     """Encode a note, which may be larger than a datagram."""
     return write_struct(
@@ -247,5 +254,6 @@
     'StreamUpdate',
     'decode_note',
     'encode_note',
+    'server_number',
     'split_note',
 )
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -114,9 +114,10 @@
   2: i64 position,
 }
 
+// ``server`` is the number of a server's key, see ``server_number``.
 struct CallStarted {
   1: i64 call,
-  2: string server,
+  2: i64 server,
   3: i32 tier,
   4: i32 unread_tokens,
   5: list<i64> parts,
@@ -127,14 +128,14 @@
 
 struct CallEnded {
   1: i64 call,
-  2: string server,
+  2: i64 server,
   3: i32 result,
 }
 
 // The first event of a call arrived: its prompt was read.
 struct CallHeard {
   1: i64 call,
-  2: string server,
+  2: i64 server,
 }
 
 // One piece of a note that does not fit a datagram.
