--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package of the same name."""
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``platform``; that name would hide the standard module."""
--- a/tests/platform/test_front.py
+++ b/tests/platform_adapter/test_front.py
@@ -18,7 +18,7 @@
 from burdockledge.settings import RelayHostSettings
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import MemberStatus, MemberUpdate
-from tests.platform.standin import (
+from tests.platform_adapter.standin import (
     Handler,
     StandInServer,
     answer,
