--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -67,14 +67,10 @@
         await self._prepare(response)
         await response.write_eof()
 
-    async def begin(
-        self, status: int, headers: Headers, body_bytes: int | None
-    ) -> None:
+    async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows."""
         response = web.StreamResponse(status=status)
         self._add_headers(response, headers)
-        if body_bytes is not None:
-            response.content_length = body_bytes
         self.response = response
         await self._prepare(response)
 
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -150,8 +150,6 @@
         self.is_not_run = (
             response.status == _MISDIRECTED or names.NOT_RUN in response.headers
         )
-        self.retry_after_seconds = None
-        self.body_bytes = None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -50,7 +50,6 @@
     urgency: int
     patience_seconds: float
     last_event: str | None
-    is_idempotent: bool
     source: ServerRef | None = None
 
 
@@ -60,8 +59,6 @@
     status: int
     headers: Headers
     is_not_run: bool
-    retry_after_seconds: float | None
-    body_bytes: int | None
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -102,9 +99,7 @@
         """Send a whole answer."""
 
     @abstractmethod
-    async def begin(
-        self, status: int, headers: Headers, body_bytes: int | None
-    ) -> None:
+    async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows."""
 
     @abstractmethod
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -278,7 +278,6 @@
             urgency=exchange.urgency,
             patience_seconds=max(0.0, exchange.deadline - now),
             last_event=exchange.events.last_id or exchange.call.last_event,
-            is_idempotent=exchange.is_idempotent,
             source=placed.source,
         )
         limit = self._silence_limit(exchange)
@@ -377,9 +376,7 @@
             self._clock.monotonic() - exchange.arrived_at,
             route=exchange.route.name,
         )
-        await exchange.caller.begin(
-            answer.status, answer.headers, answer.body_bytes
-        )
+        await exchange.caller.begin(answer.status, answer.headers)
 
     def _stall_limit(self, exchange: _Exchange) -> float | None:
         return _STREAM_SILENCE_SECONDS if self._has_attempts(exchange) else None
--- a/src/burdockledge/replication/__init__.py
+++ b/src/burdockledge/replication/__init__.py
@@ -4,7 +4,6 @@
 
 from burdockledge.replication._exchange import (
     Exchange,
-    LoadListener,
     StreamListener,
 )
 from burdockledge.replication._reader import StoreReader
@@ -15,7 +14,6 @@
 __all__ = (
     'UNKNOWN',
     'Exchange',
-    'LoadListener',
     'Merged',
     'ReadSchedule',
     'RecordSource',
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -82,8 +82,6 @@
     is_broken: bool = False
     is_not_run: bool = False
     headers: Headers = (('Sealed', 'yes'),)
-    retry_after_seconds: float | None = None
-    body_bytes: int | None = None
     is_closed: bool = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -201,9 +199,7 @@
         self.status, self.headers, self.body = status, headers, body
         self.ended = 'whole'
 
-    async def begin(
-        self, status: int, headers: Headers, body_bytes: int | None
-    ) -> None:
+    async def begin(self, status: int, headers: Headers) -> None:
         """Keep the head."""
         assert not self.status
         self.status, self.headers = status, headers
