Ask hosts held dead in turn; find a planted breakage in another cell

Change: hosts held dead are asked in turn; the check names 'host kill, mid-stream', which finds the breakage by an untrue not-run as before. The check stays as strict: the real code must pass the cell and the broken code must fail it.

--- a/src/burdockledge/membership/_service.py
+++ b/src/burdockledge/membership/_service.py
@@ -63,6 +63,8 @@
         super().__init__()
         self._table = MemberTable(own, clock.monotonic())
         self._seeds = set(seeds) - {own.peer_address}
+        self._met: set[str] = set()
+        self._lost_turn = 0
         self._port = port
         self._keys = keys
         self._clock = clock
@@ -139,18 +141,26 @@
         while True:
             self.spawn(self._probe_next())
             self._probe_one_seed()
+            self._probe_one_lost()
             await asyncio.sleep(PROBE_SECONDS)
             for host in self._table.tick(self._clock.monotonic()):
                 _log.warning('Host is held dead.', peer=host)
             self._notify()
 
-    def _probe_one_seed(self) -> None:
-        # Hosts held dead are asked too: a cut between hosts may have healed.
+    def _probe_one_lost(self) -> None:
+        """Ask a host held dead: a cut between hosts may have healed."""
         reached = {
             update.peer_address for update in self._table.probe_targets()
         }
-        reached.add(self.own.peer_address)
-        unknown = sorted(self._seeds - reached)
+        lost = sorted(self._met - reached - {self.own.peer_address})
+        if lost:
+            self._lost_turn += 1
+            address = lost[self._lost_turn % len(lost)]
+            self._send(address, ProbeKind.ping)
+
+    def _probe_one_seed(self) -> None:
+        known = {update.peer_address for update in self._table.updates()}
+        unknown = sorted(self._seeds - known)
         if unknown:
             self._send(self._random.choice(unknown), ProbeKind.ping)
 
@@ -265,7 +275,7 @@
 
     def _fold(self, probe: Probe) -> None:
         now = self._clock.monotonic()
-        self._seeds.add(probe.sender.peer_address)
+        self._met.add(probe.sender.peer_address)
         for update in (probe.sender, *probe.updates):
             self._table.apply(update, now)
         if self.on_configuration_offset is not None:
--- a/tests/proofs/breakages.py
+++ b/tests/proofs/breakages.py
@@ -278,7 +278,7 @@
     not_run_after_lost_append: (('answers lost',), 'accept'),
     not_run_after_dispatch: (('answers lost',), 'accept'),
     retry_in_doubt: (('answers lost',), 'accept'),
-    not_run_while_held: (('silent connection',), 'accept'),
+    not_run_while_held: (('host kill',), 'mid-stream'),
     ignore_the_body: (('burst',), 'accept'),
     fold_without_version_check: (('operator race',), 'accept'),
     never_snapshot: (('log records expired',), 'accept'),
