Refuse late calls that the stop of a host would cut

Change: from 2.5 s after the request to stop, a call whose time limit lies beyond the end of the process is refused with 503; it has not run. The test fails without the change.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -143,6 +143,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         last = self.settings.grace_seconds - _KILL_MARGIN_SECONDS
+        self.relay.stop_at(last)
         least = min(_LEAST_STOP_SECONDS, last)
         busy_at = started_at
         while loop.time() - started_at < last:
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -63,6 +63,9 @@
 _LEAST_SILENCE_SECONDS: Final = 0.4
 # An event stream that can be resumed is moved after a pause of this length.
 _STREAM_SILENCE_SECONDS: Final = 1.5
+# Callers that ask the directory have left a stopping host after this; a later
+# call that may outlast the host is refused, as it has not run.
+_LATE_SECONDS: Final = 2.5
 _LOWEST_URGENCY: Final = 9
 # Route tiers that are told apart within a team's tier.
 _ROUTE_TIERS: Final = 3
@@ -113,6 +116,18 @@
         return self.route.is_idempotent
 
 
+@dataclass(frozen=True, slots=True)
+class _Stop:
+    """The end of the process, and when callers should know of it."""
+
+    late_from: float
+    ends_at: float
+
+    def cuts(self, now: float, patience: float) -> bool:
+        """Tell whether a late call might not be answered to its end."""
+        return now >= self.late_from and now + patience > self.ends_at
+
+
 class Relay:
     """
     Serves forwarded calls.
@@ -136,6 +151,12 @@
         self._random = random
         self._metrics = metrics
         self.in_flight = 0
+        self._stop: _Stop | None = None
+
+    def stop_at(self, seconds: float) -> None:
+        """Prepare for the end of the process in some seconds."""
+        now = self._clock.monotonic()
+        self._stop = _Stop(now + _LATE_SECONDS, now + seconds)
 
     async def handle(self, call: ForwardedCall, caller: CallerPort) -> None:
         """Answer one call."""
@@ -159,6 +180,9 @@
         patience = route.timeout_seconds
         if call.patience_seconds is not None:
             patience = min(patience, call.patience_seconds)
+        if self._stop is not None and self._stop.cuts(arrived_at, patience):
+            await self._refuse(call, caller, 'this host is stopping')
+            return
         exchange = _Exchange(
             call=call,
             caller=caller,
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -232,6 +232,7 @@
     *script: Script,
     knowledge: FakeKnowledge | None = None,
     cancel_after: float | None = None,
+    stop: tuple[float, float] | None = None,
 ) -> Play:
     """Serve a call in virtual time."""
     loop = VirtualTimeLoop()
@@ -241,6 +242,9 @@
     relay = Relay(known, client, VirtualClock(loop), Random(1), Metrics())
 
     async def run() -> None:
+        if stop is not None:
+            relay.stop_at(stop[0])
+            await asyncio.sleep(stop[1])
         task = loop.create_task(relay.handle(forwarded, caller))
         if cancel_after is not None:
             await asyncio.sleep(cancel_after)
@@ -335,6 +339,20 @@
     assert found.seconds == pytest.approx(seconds)
 
 
+@pytest.mark.parametrize(
+    ('left', 'waited', 'status'),
+    [(8, 0.0, 200), (8, 2.4, 200), (8, 4.0, 200), (4, 2.6, 503)],
+    ids=['at once', 'soon', 'late, but short', 'late, and may be cut'],
+)
+def test_late_calls_that_a_stop_would_cut_are_refused(
+    left: float, waited: float, status: int
+) -> None:
+    """A call long after the request to stop is refused, not cut."""
+    found = play(call('/unsafe/x'), OK, stop=(left, waited))
+    assert found.caller.status == status
+    assert len(found.client.sent) == (status == 200)
+
+
 def test_an_empty_budget_ends_repeats() -> None:
     """A repeat needs room in the budget."""
     found = play(
