Remove state that nothing reads, and one copy of a pause

Cause: a last reading found signs of life of servers, a byte count of notes and a clock that were kept and never read, one of them at each first event; two loops of the reader slept by the same four lines; a comment on the size of call numbers stood at another constant. Change: they are removed, and the loops share one pause. Behaviour is the same.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -62,7 +62,6 @@
         random = Random(SystemRandom().getrandbits(64))
         self.settings = settings
         self.metrics = Metrics()
-        self._clock = clock
         self.client = HttpServerClient()
         self.membership = Membership(
             MemberUpdate(
--- a/src/burdockledge/relay/_host_knowledge.py
+++ b/src/burdockledge/relay/_host_knowledge.py
@@ -42,9 +42,9 @@
 CONFIGURATION_STREAM: Final = 'configuration'
 SERVERS_STREAM: Final = 'servers'
 STREAMS: Final = (CONFIGURATION_STREAM, SERVERS_STREAM)
+_RESULTS: Final = frozenset(CallResult)
 # Short numbers keep notes small; two calls of one server within some seconds
 # are unlikely to share one.
-_RESULTS: Final = frozenset(CallResult)
 _CALL_BITS: Final = 31
 
 
@@ -166,7 +166,6 @@
         """Note that a server began to answer."""
         now = self._clock.monotonic()
         server = placed.ref.key
-        self._evidence.proved(server, now)
         self._loads.hear(server, placed.call, now)
         self._exchange.announce_first(
             CallHeard(placed.call, server_number(server))
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -86,7 +86,6 @@
         self.first_addresses: Callable[[], list[str]] = list
         self.on_change: StreamListener | None = None
         self.on_calls: LoadListener | None = None
-        self.bytes_sent = 0
 
     def state(self, stream: str) -> StreamState:
         """Return what is held of a stream."""
@@ -190,7 +189,6 @@
     def _send_datagrams(self, address: str, datagrams: list[bytes]) -> None:
         for datagram in datagrams:
             self._port.send(address, datagram)
-            self.bytes_sent += len(datagram)
 
     def _receive(self, datagram: bytes, source: str) -> None:
         proof, encoded = datagram[:PROOF_BYTES], datagram[PROOF_BYTES:]
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from result import Err, Ok
+from result import Err
 
 from burdockledge.kernel import TaskGroupService
 from burdockledge.telemetry import make_logger
@@ -133,18 +133,17 @@
 
     async def _register(self) -> None:
         while not await self._source.register(self._host, self._address):
-            await asyncio.sleep(
-                _REGISTER_RETRY_SECONDS * (1 + self._random.random()),
-            )
-        while True:
+            await self._pause()
+        found = await self._source.hosts()
+        while isinstance(found, Err):
+            await self._pause()
             found = await self._source.hosts()
-            if isinstance(found, Ok):
-                break
-            await asyncio.sleep(
-                _REGISTER_RETRY_SECONDS * (1 + self._random.random()),
-            )
         if self.on_addresses is not None:
             self.on_addresses(tuple(found.ok_value.values()))
 
+    async def _pause(self) -> None:
+        jitter = 1 + self._random.random()
+        await asyncio.sleep(_REGISTER_RETRY_SECONDS * jitter)
+
 
 __all__ = ('StoreReader',)
--- a/src/burdockledge/scheduling/_evidence.py
+++ b/src/burdockledge/scheduling/_evidence.py
@@ -32,7 +32,6 @@
     good: float = 0.0
     bad: float = 0.0
     at: float = 0.0
-    proved_at: float = 0.0
     pause_until: float = 0.0
     pause: float = 0.0
     witnesses: dict[str, float] = field(default_factory=dict)
@@ -62,7 +61,6 @@
         _decay(record, now)
         if result is CallResult.answered:
             record.good += 1
-            record.proved_at = now
             if host == self._own:
                 record.pause = 0.0
                 record.pause_until = 0.0
@@ -71,16 +69,6 @@
         if result is CallResult.unreachable:
             self._note_unreachable(record, host, now)
 
-    def proved(self, server: str, now: float) -> None:
-        """Note a sign of life, such as the first bytes of an answer."""
-        record = self._records.setdefault(server, _Record(at=now))
-        record.proved_at = now
-
-    def proved_at(self, server: str) -> float:
-        """Return when the server last gave a sign of life, in seconds."""
-        record = self._records.get(server)
-        return 0.0 if record is None else record.proved_at
-
     def is_paused(self, server: str, now: float) -> bool:
         """Tell whether new calls should go elsewhere."""
         record = self._records.get(server)
