--- /dev/null
+++ b/src/burdockledge/calls/__init__.py
@@ -0,0 +1,33 @@
+"""Types of calls, routes, teams and servers, which every package may use."""
+
+from __future__ import annotations
+
+from burdockledge.calls._types import (
+    CallerLimits,
+    EngineConfiguration,
+    ForwardedCall,
+    Prompt,
+    PromptPart,
+    Route,
+    RouteKind,
+    RoutingDocument,
+    ServerInstance,
+    ServiceConfiguration,
+    ServiceShare,
+    Team,
+)
+
+__all__ = (
+    'CallerLimits',
+    'EngineConfiguration',
+    'ForwardedCall',
+    'Prompt',
+    'PromptPart',
+    'Route',
+    'RouteKind',
+    'RoutingDocument',
+    'ServerInstance',
+    'ServiceConfiguration',
+    'ServiceShare',
+    'Team',
+)
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -5,15 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.calls import ForwardedCall, Prompt, PromptPart
 from burdockledge.platform import _names as names
-from burdockledge.relay import ForwardedCall, Prompt, PromptPart
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from aiohttp.web_request import BaseRequest
 
-    from burdockledge.relay import CallerLimits, Headers, OutboundCall
+    from burdockledge.calls import CallerLimits
+    from burdockledge.relay import Headers, OutboundCall
 
 _BAD_REQUEST: Final = 400
 _REQUEST_TIMEOUT: Final = 408
--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -12,12 +12,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field, StrictInt, ValidationError
 
-from burdockledge.platform import _names as names
-from burdockledge.registry import Registration, ServerState
-from burdockledge.relay import (
+from burdockledge.calls import (
     CallerLimits,
     EngineConfiguration,
-    RecordDecoder,
     Route,
     RouteKind,
     RoutingDocument,
@@ -26,6 +23,9 @@
     ServiceShare,
     Team,
 )
+from burdockledge.platform import _names as names
+from burdockledge.registry import Registration, ServerState
+from burdockledge.relay import RecordDecoder
 from burdockledge.telemetry import make_logger
 
 _log = make_logger('platform')
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -4,10 +4,11 @@
 
 import functools
 import socket
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -17,6 +18,7 @@
     Headers,
     IncompleteResponseError,
     OutboundCall,
+    OversizedResponseError,
     SendFailure,
     ServerClient,
     ServerResponse,
@@ -41,6 +43,10 @@
 # A connection breaks if sent bytes stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS: Final = 1500
 _FIRST_FINAL_STATUS: Final = 200
+# Interim responses and late copies of others that one answer may follow.
+_MAX_HEADS: Final = 16
+# Heads, chunk sizes and trailers between two parts of a body.
+_MAX_FRAMING_BYTES: Final = 1024 * 1024
 _MISDIRECTED_REQUEST: Final = 421
 # asyncio.TimeoutError is an OSError since Python 3.11.
 _READ_ERRORS: Final = (aiohttp.ClientError, OSError)
@@ -70,11 +76,18 @@
         """Create a connection without a pending request."""
         super().__init__(loop=loop)
         self._awaits_response = False
+        self._echoes_ids = False
+        self._heads_left = 0
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self.request_id: str | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Accept a response from now on."""
         self._awaits_response = True
+        self._heads_left = _MAX_HEADS
+        self._body_bytes = 0
+        self._framing_bytes = 0
         super().set_response_params(**params)
 
     async def read(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -82,14 +95,26 @@
         Return the response head and body; skip responses to other requests.
 
         After a skipped response the connection is not reused.
+
+        :raises HttpProcessingError: if too many responses come before the
+            right one, or one that can not be told from a late copy.
         """
         while True:
             message, payload = await super().read()
+            self._heads_left -= 1
+            if self._heads_left < 0:
+                self._reject('Too many answers before the right one.')
+            if message.code < _FIRST_FINAL_STATUS:
+                return message, payload
             response_request_id = message.headers.get(names.REQUEST_ID)
-            if (
-                response_request_id is None
-                or response_request_id == self.request_id
-            ):
+            if response_request_id == self.request_id:
+                self._echoes_ids = True
+                break
+            if response_request_id is None:
+                # A server that sends ids leaves them out of no answer, but
+                # a late copy of an earlier answer may lack its id.
+                if self._echoes_ids:
+                    self._reject('Answer lacks its id.')
                 break
             _log.warning(
                 'Answer to another request.',
@@ -97,8 +122,7 @@
                 answered=response_request_id,
             )
             self.force_close()
-        if message.code >= _FIRST_FINAL_STATUS:
-            payload.on_eof(self._on_response_end)
+        payload.on_eof(self._on_response_end)
         return message, payload
 
     def data_received(self, data: bytes) -> None:
@@ -107,6 +131,7 @@
             self.close()
             return
         super().data_received(data)
+        self._limit_framing(len(data))
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection broke."""
@@ -116,6 +141,25 @@
             self._parser = None
         super().connection_lost(exc)
 
+    def _limit_framing(self, size: int) -> None:
+        """Close the connection if much arrives that is no part of a body."""
+        payload = self._payload
+        body_bytes = 0 if payload is None else payload.total_bytes
+        if body_bytes != self._body_bytes:
+            self._body_bytes = body_bytes
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += size
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            _log.warning('Answer has no end.', request=self.request_id)
+            if self.transport is not None:
+                self.transport.abort()
+
+    def _reject(self, why: str) -> NoReturn:
+        _log.warning(why, request=self.request_id)
+        self.force_close()
+        raise HttpProcessingError(message=why)
+
     def _on_response_end(self) -> None:
         self._awaits_response = False
 
@@ -171,12 +215,16 @@
         except _READ_ERRORS as error:
             raise IncompleteResponseError from error
 
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        try:
-            return await self._response.read()
-        except _READ_ERRORS as error:
-            raise IncompleteResponseError from error
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the whole body if it is not too long."""
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise OversizedResponseError
+            chunks.append(chunk)
+        return b''.join(chunks)
 
     def close(self) -> None:
         """Close the connection unless the response was read completely."""
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from burdockledge.relay import ServerInstance
+    from burdockledge.calls import ServerInstance
 
 # Servers whose entries expired during an outage of the store register again
 # within about two seconds of its return (users' letter on the platform
--- a/src/burdockledge/relay/_event_buffer.py
+++ b/src/burdockledge/relay/_event_buffer.py
@@ -4,6 +4,11 @@
 
 from typing import Final
 
+from burdockledge.relay._ports import OversizedResponseError
+
+# An event of a token stream has some hundred bytes. The bound keeps a server
+# that never ends an event from filling the host's memory.
+MAX_EVENT_BYTES: Final = 1024 * 1024
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 
@@ -27,10 +32,17 @@
         return not self._partial
 
     def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk and return the events that it completes, unchanged."""
+        """
+        Add a chunk and return the events that it completes, unchanged.
+
+        :raises OversizedResponseError: if an event exceeds
+            ``MAX_EVENT_BYTES``.
+        """
         buffered = self._partial + chunk
         end = buffered.rfind(_EVENT_END)
         if end < 0:
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise OversizedResponseError
             self._partial = buffered
             return b''
         complete = buffered[: end + 2]
@@ -54,4 +66,4 @@
         self.last_id = line.strip().decode('latin-1')
 
 
-__all__ = ('EventBuffer',)
+__all__ = ('MAX_EVENT_BYTES', 'EventBuffer')
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -8,13 +8,14 @@
 
 from result import Err
 
+from burdockledge.calls import RouteKind
 from burdockledge.relay._ports import (
     IncompleteResponseError,
     OutboundCall,
+    OversizedResponseError,
     SendFailure,
 )
 from burdockledge.relay._responder import BAD_GATEWAY, UNAVAILABLE
-from burdockledge.relay._types import RouteKind
 from burdockledge.scheduling import CallResult
 from burdockledge.telemetry import make_logger
 
@@ -44,9 +45,18 @@
 # route's latency target is sent to another server.
 _HEAD_TIMEOUT_TARGETS: Final = 2.0
 _MIN_HEAD_TIMEOUT_SECONDS: Final = 0.4
-# A resumable event stream without a byte for this long is resumed at another
-# server.
-_STREAM_STALL_SECONDS: Final = 1.5
+# A resumable event stream without a complete event for this long, or for this
+# multiple of its pause target if that is longer, is resumed at another server.
+_RESUME_STALL_SECONDS: Final = 1.5
+_RESUME_STALL_PAUSE_TARGETS: Final = 2.0
+# Callers give up on a stream after the longest of this gap and these multiples
+# of its route's targets (the platform's pages), so it is cut off then.
+_ABANDON_SECONDS: Final = 2.0
+_ABANDON_LATENCY_TARGETS: Final = 4.0
+_ABANDON_PAUSE_TARGETS: Final = 8.0
+# A response that is not a stream is held in memory until it is complete. The
+# bound is that of the largest request bodies by default.
+_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _MS_PER_SECOND: Final = 1000
 
 
@@ -228,10 +238,14 @@
         is_stream = served.route.kind is RouteKind.stream
         try:
             if is_success and is_stream:
-                await self._relay_stream(served, response)
+                await self._relay_stream(served, placement, response)
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
-            body = await response.read()
+            body = await response.read(_MAX_BODY_BYTES)
+        except OversizedResponseError:
+            outcome.result = CallResult.failed
+            served.event_buffer.discard_partial()
+            return 'the answer is too large'
         except IncompleteResponseError:
             outcome.result = CallResult.unreachable
             served.event_buffer.discard_partial()
@@ -267,29 +281,55 @@
         )
 
     async def _relay_stream(
-        self, served: ServedCall, response: ServerResponse
+        self,
+        served: ServedCall,
+        placement: Placement,
+        response: ServerResponse,
     ) -> None:
         """
         Relay events as they arrive, each only once it is complete.
 
+        Only a complete event counts as progress, so that a server that sends
+        a byte now and then is recognised as stalled.
+
         :raises IncompleteResponseError: if the stream stalls or is cut off.
         """
-        async for chunk in _chunks_with_timeout(
-            response, self._stall_timeout_seconds(served)
-        ):
+        writes = 0
+        loop = asyncio.get_running_loop()
+        stall_seconds = self._stall_timeout_seconds(served)
+        chunks = response.chunks()
+        stalls_at = loop.time() + stall_seconds
+        while True:
+            chunk = await _next_chunk(chunks, stalls_at)
+            if chunk is None:
+                break
             events = served.event_buffer.feed(chunk)
             if not events:
                 continue
             if not served.has_response_started:
                 await self._start_stream(served, response)
-            served.note_write(self._clock.monotonic())
+            self._note_write(served, placement, is_first=not writes)
+            writes += 1
             await served.caller.write(events)
+            stalls_at = loop.time() + stall_seconds
         if not served.event_buffer.is_at_event_boundary:
             raise IncompleteResponseError
         if not served.has_response_started:
             await self._start_stream(served, response)
+        if served.sends == 1:
+            self._state.note_stream_end(
+                placement, served.call.prompt.max_output_tokens, writes
+            )
         await served.caller.finish()
 
+    def _note_write(
+        self, served: ServedCall, placement: Placement, *, is_first: bool
+    ) -> None:
+        """Learn from the pause before a write, unless a prefill caused it."""
+        pause_seconds = served.note_write(self._clock.monotonic())
+        if pause_seconds is not None and not is_first:
+            self._state.note_pause(placement, pause_seconds)
+
     async def _start_stream(
         self, served: ServedCall, response: ServerResponse
     ) -> None:
@@ -301,8 +341,18 @@
         )
         await served.caller.start_response(response.status, response.headers)
 
-    def _stall_timeout_seconds(self, served: ServedCall) -> float | None:
-        return _STREAM_STALL_SECONDS if self._has_attempt_left(served) else None
+    def _stall_timeout_seconds(self, served: ServedCall) -> float:
+        pause_target_seconds = served.route.pause_target_seconds or 0
+        if self._has_attempt_left(served):
+            return max(
+                _RESUME_STALL_SECONDS,
+                _RESUME_STALL_PAUSE_TARGETS * pause_target_seconds,
+            )
+        return max(
+            _ABANDON_SECONDS,
+            _ABANDON_LATENCY_TARGETS * served.route.latency_target_seconds,
+            _ABANDON_PAUSE_TARGETS * pause_target_seconds,
+        )
 
     def _log_placement(self, served: ServedCall, placement: Placement) -> None:
         _log.info(
@@ -329,25 +379,20 @@
     result: CallResult
 
 
-async def _chunks_with_timeout(
-    response: ServerResponse, timeout_seconds: float | None
-) -> AsyncIterator[bytes]:
+async def _next_chunk(
+    chunks: AsyncIterator[bytes], stalls_at: float
+) -> bytes | None:
     """
-    Yield the chunks of a response body.
+    Return the next chunk of a response body, None at its end.
 
-    :raises IncompleteResponseError: if the body ends early, or no chunk
-        arrives for ``timeout_seconds`` (None: no limit).
+    :param stalls_at: until when to wait, in seconds of the event loop.
+    :raises IncompleteResponseError: if the body ends early or stalls.
     """
-    chunks = response.chunks()
-    while True:
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                chunk = await anext(chunks)
-        except StopAsyncIteration:
-            return
-        except TimeoutError as error:
-            raise IncompleteResponseError from error
-        yield chunk
+    try:
+        async with asyncio.timeout_at(stalls_at):
+            return await anext(chunks, None)
+    except TimeoutError as error:
+        raise IncompleteResponseError from error
 
 
 __all__ = ('Forwarder',)
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -12,7 +12,7 @@
 
     from result import Result
 
-    from burdockledge.relay._types import ForwardedCall, ServerInstance
+    from burdockledge.calls import ForwardedCall, ServerInstance
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -36,6 +36,10 @@
     """The body of a response ended before it was complete."""
 
 
+class OversizedResponseError(IncompleteResponseError):
+    """A response, or one event of it, is larger than a host may buffer."""
+
+
 @dataclass(frozen=True, slots=True)
 class OutboundCall:
     """
@@ -77,11 +81,12 @@
         """
 
     @abstractmethod
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int) -> bytes:
         """
         Return the whole body.
 
         :raises IncompleteResponseError: if the body ends early.
+        :raises OversizedResponseError: if it is longer than ``max_bytes``.
         """
 
     @abstractmethod
@@ -130,6 +135,7 @@
     'Headers',
     'IncompleteResponseError',
     'OutboundCall',
+    'OversizedResponseError',
     'SendFailure',
     'ServerClient',
     'ServerResponse',
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -20,11 +20,11 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from burdockledge.calls import ForwardedCall
     from burdockledge.clock import Clock
     from burdockledge.relay._ports import CallerPort, ServerClient
     from burdockledge.relay._routes import RouteIndex
     from burdockledge.relay._routing_state import RoutingState
-    from burdockledge.relay._types import ForwardedCall
     from burdockledge.telemetry import Metrics
 
 # A call to a starting host waits at most this long for the configuration:
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.calls import Prompt, PromptPart
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
-from burdockledge.relay._types import Prompt, PromptPart
 from burdockledge.scheduling import (
     CallResult,
     CallStart,
@@ -31,9 +31,9 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from burdockledge.calls import Route, RoutingDocument, ServerInstance
     from burdockledge.clock import Clock
     from burdockledge.registry import Registration, ServerRegistry
-    from burdockledge.relay._types import Route, RoutingDocument, ServerInstance
     from burdockledge.replication import GossipExchange
     from burdockledge.wire import Note
 
@@ -46,6 +46,7 @@
 # Short random ids keep the datagrams small; two calls at one server within
 # some seconds are unlikely to share one.
 _CALL_ID_BITS: Final = 31
+_MS_PER_SECOND: Final = 1000
 
 
 class RecordDecoder(ABC):
@@ -147,10 +148,9 @@
             choice.prefill_tokens,
             prompt,
             prompt.max_output_tokens,
-            request.is_interactive,
+            route.pause_target_seconds,
         )
         self._loads.start(start, now)
-        self._policy.note_start(service, start, now)
         self._exchange.call_events.announce_start(_encode_call_start(start))
         return Placement(
             call_id,
@@ -159,15 +159,37 @@
             choice.prefill_tokens,
             choice.running_calls,
             choice.cache_source,
+            now,
         )
 
     def note_response_start(self, placement: Placement) -> None:
         """Record a response's head as its first event, and tell other hosts."""
         now = self._clock.monotonic()
         instance_id = placement.instance.instance_id
-        self._loads.note_first_event(instance_id, placement.call_id, now)
+        seconds = now - placement.placed_at
+        self._loads.note_first_event(
+            instance_id, placement.call_id, now, seconds
+        )
         self._exchange.call_events.announce_first_event(
-            CallHeard(placement.call_id, hash_server_key(instance_id))
+            CallHeard(
+                placement.call_id,
+                hash_server_key(instance_id),
+                round(seconds * _MS_PER_SECOND),
+            )
+        )
+
+    def note_pause(self, placement: Placement, seconds: float) -> None:
+        """Learn from a pause between two events of a stream."""
+        self._loads.note_pause(
+            placement.instance.instance_id, seconds, self._clock.monotonic()
+        )
+
+    def note_stream_end(
+        self, placement: Placement, max_output_tokens: int, events: int
+    ) -> None:
+        """Learn from a complete stream how many events it had."""
+        self._loads.note_stream_end(
+            placement.instance.instance_id, max_output_tokens, events
         )
 
     def note_end(self, placement: Placement, result: int) -> None:
@@ -281,6 +303,10 @@
             _log.warning('Older version left out.', version=document.version)
             return
         self._routes = RouteIndex(document)
+        if document.routes:
+            self._loads.set_call_expiry(
+                max(route.timeout_seconds for route in document.routes)
+            )
         _log.info(
             'Configuration in force.',
             version=document.version,
@@ -301,16 +327,13 @@
             instance_id = self._instance_ids_by_hash.get(started.server)
             if instance_id is None:
                 continue
-            start = _decode_call_start(started, instance_id)
-            self._loads.start(start, now)
-            service = self._registry.service_of(start.instance_id)
-            if service is not None:
-                self._policy.note_start(service, start, now)
+            self._loads.start(_decode_call_start(started, instance_id), now)
         for heard in note.heard:
             self._loads.note_first_event(
                 self._instance_ids_by_hash.get(heard.server, ''),
                 heard.call,
                 now,
+                heard.first_event_ms / _MS_PER_SECOND,
             )
         for end in note.ended:
             instance_id = self._instance_ids_by_hash.get(end.server)
@@ -330,7 +353,9 @@
         [part.part_id for part in parts],
         [part.tokens for part in parts],
         start.max_output_tokens,
-        start.is_interactive,
+        pause_target_ms=round(
+            (start.pause_target_seconds or 0) * _MS_PER_SECOND
+        ),
     )
 
 
@@ -343,7 +368,9 @@
         started.unread_tokens,
         Prompt(tuple(PromptPart(part, tokens) for part, tokens in pairs)),
         started.output_tokens,
-        started.is_brisk,
+        started.pause_target_ms / _MS_PER_SECOND
+        if started.pause_target_ms
+        else None,
     )
 
 
--- a/src/burdockledge/relay/_responder.py
+++ b/src/burdockledge/relay/_responder.py
@@ -10,11 +10,11 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from burdockledge.calls import ForwardedCall
     from burdockledge.clock import Clock
     from burdockledge.relay._ports import CallerPort, Headers
     from burdockledge.relay._routing_state import RoutingState
     from burdockledge.relay._served_call import ServedCall
-    from burdockledge.relay._types import ForwardedCall
     from burdockledge.telemetry import Metrics
 
 _log = make_logger('relay')
--- a/src/burdockledge/relay/_routes.py
+++ b/src/burdockledge/relay/_routes.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from burdockledge.relay._types import (
+    from burdockledge.calls import (
         ForwardedCall,
         Route,
         RoutingDocument,
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from burdockledge.calls import Prompt, Route, ServerInstance
     from burdockledge.relay._routes import RouteIndex
-    from burdockledge.relay._types import Prompt, Route, ServerInstance
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +20,8 @@
     ``cost_seconds`` is the server's estimated cost, the lowest of all.
     ``prefill_tokens`` is what the server has to prefill, ``running_calls``
     how many calls it had before. The server fetches cached parts of the
-    prompt from ``cache_source``, if any.
+    prompt from ``cache_source``, if any. ``placed_at`` is in seconds of the
+    monotonic clock.
     """
 
     call_id: int
@@ -29,6 +30,7 @@
     prefill_tokens: int
     running_calls: int
     cache_source: ServerInstance | None = None
+    placed_at: float = 0.0
 
 
 class RoutingState(ABC):
@@ -67,6 +69,16 @@
     def note_response_start(self, placement: Placement) -> None:
         """Record that the head of a response has arrived."""
 
+    @abstractmethod
+    def note_pause(self, placement: Placement, seconds: float) -> None:
+        """Learn from a pause between two events of a stream, just ended."""
+
+    @abstractmethod
+    def note_stream_end(
+        self, placement: Placement, max_output_tokens: int, events: int
+    ) -> None:
+        """Learn from a complete stream how many events it had."""
+
     @abstractmethod
     def note_end(self, placement: Placement, result: int) -> None:
         """Record the result of a send, a ``CallResult``."""
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -8,8 +8,8 @@
 from burdockledge.relay._event_buffer import EventBuffer
 
 if TYPE_CHECKING:
+    from burdockledge.calls import ForwardedCall, Route, Team
     from burdockledge.relay._ports import CallerPort
-    from burdockledge.relay._types import ForwardedCall, Route, Team
 
 _LOWEST_URGENCY: Final = 9
 # How many route tiers are distinguished within one team tier.
@@ -64,14 +64,20 @@
         """Whether the call may run more than once."""
         return self.route.is_idempotent
 
-    def note_write(self, now: float) -> None:
-        """Record the time of a write of events to the caller."""
+    def note_write(self, now: float) -> float | None:
+        """
+        Record the time of a write of events to the caller.
+
+        :return: the seconds since the last write, None for the first one.
+        """
+        pause = None
         if self.first_event_seconds is None:
             self.first_event_seconds = now - self.arrived_at
         else:
             pause = now - self.last_write_at
             self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
         self.last_write_at = now
+        return pause
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -1,16 +1,10 @@
-"""Chooses servers by their loads, prefix caches and health."""
+"""Chooses servers by their loads, prefix caches, timing and health."""
 
 from __future__ import annotations
 
 from burdockledge.scheduling._health import CallResult, HealthTracker
-from burdockledge.scheduling._interactive import (
-    MAX_INTERACTIVE_PAUSE_SECONDS,
-    MAX_INTERACTIVE_PROMPT_TOKENS,
-    InteractiveDemand,
-)
 from burdockledge.scheduling._load import (
-    CALL_EXPIRY_SECONDS,
-    DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    DEFAULT_CALL_EXPIRY_SECONDS,
     CallStart,
     LoadTracker,
     ServerLoad,
@@ -21,20 +15,22 @@
     PlacementRequest,
 )
 from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
+from burdockledge.scheduling._timing import (
+    DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    ServiceTiming,
+)
 
 __all__ = (
-    'CALL_EXPIRY_SECONDS',
+    'DEFAULT_CALL_EXPIRY_SECONDS',
     'DEFAULT_PREFILL_TOKENS_PER_SECOND',
-    'MAX_INTERACTIVE_PAUSE_SECONDS',
-    'MAX_INTERACTIVE_PROMPT_TOKENS',
     'CallResult',
     'CallStart',
     'HealthTracker',
-    'InteractiveDemand',
     'LoadTracker',
     'PlacementChoice',
     'PlacementPolicy',
     'PlacementRequest',
     'PrefixCacheEstimate',
     'ServerLoad',
+    'ServiceTiming',
 )
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -2,29 +2,38 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
+from burdockledge.scheduling._timing import ServiceTiming
 
 if TYPE_CHECKING:
-    from burdockledge.relay import Prompt, ServerInstance
-
-# Assumed prefill rate until calls have shown it. The users' engines prefill
-# 112 to 157 tokens in a millisecond, less what running streams take.
-DEFAULT_PREFILL_TOKENS_PER_SECOND: Final = 80_000.0
-# A call is dropped after the users' longest time limit, as the news of its
-# end may be lost with the host that sent it.
-CALL_EXPIRY_SECONDS: Final = 12.0
+    from burdockledge.calls import Prompt, ServerInstance
+
+# A call is dropped after this time, as the news of its end may be lost with
+# the host that sent it; the longest time limit of the routes replaces it.
+DEFAULT_CALL_EXPIRY_SECONDS: Final = 30.0
 _DEFAULT_CACHE_TOKENS: Final = 500_000
-# Time from the send to the first event that doesn't depend on the prompt's
-# length: 31 ms at the users' engines, plus the network.
-_FIRST_EVENT_OVERHEAD_SECONDS: Final = 0.035
-# The prefill rate is measured only with prompts of more than one chunk.
-_MIN_SAMPLE_TOKENS: Final = 6000
-_RATE_SAMPLE_WEIGHT: Final = 0.2
-_MIN_TOKENS_PER_SECOND: Final = 10_000.0
-_MAX_TOKENS_PER_SECOND: Final = 400_000.0
+_SPEED_SAMPLE_WEIGHT: Final = 0.2
+_PAUSE_RATIO_SAMPLE_WEIGHT: Final = 0.02
+# Bounds of the speed of a server in relation to others of its service.
+_MIN_SPEED_RATIO: Final = 0.1
+_MAX_SPEED_RATIO: Final = 4.0
+# The prefill of a call is forecast from that of this time before it.
+_PREFILL_SHARE_SECONDS: Final = 2.0
+_MAX_PREFILL_SHARE: Final = 0.95
+_MIN_SECONDS: Final = 0.001
+# Sums of weights below this are rounding errors.
+_MIN_WEIGHT: Final = 1e-6
+# Each step of urgency counts for less by this factor.
+_WEIGHT_RATIO: Final = 0.75
+
+
+def urgency_weight(urgency: int) -> float:
+    """Return the loss if a call misses its target, 1 for the most urgent."""
+    return float(_WEIGHT_RATIO**urgency)
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +42,8 @@
     A call that any host sent to a server.
 
     ``prefill_tokens`` is the part of the prompt that the server has to
-    prefill. Urgency 0 is the highest priority.
+    prefill. Urgency 0 is the highest priority. A stream whose events pause
+    for longer than ``pause_target_seconds`` is late.
     """
 
     call_id: int
@@ -42,7 +52,12 @@
     prefill_tokens: int
     prompt: Prompt
     max_output_tokens: int = 0
-    is_interactive: bool = False
+    pause_target_seconds: float | None = None
+
+    @property
+    def weight(self) -> float:
+        """The loss if the call misses its target, 1 for the most urgent."""
+        return urgency_weight(self.urgency)
 
 
 @dataclass(slots=True)
@@ -60,28 +75,58 @@
     had_no_backlog: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _RunningCall:
+    """A call at the instance, sent at a time of the monotonic clock."""
+
+    sent_at: float
+    weight: float
+    pause_target_seconds: float | None
+
+
 class ServerLoad:
     """
-    The load on one server instance.
+    The load on one server instance, and its speed.
 
-    Times are in seconds of the monotonic clock.
+    ``speed_ratio`` is its prefill rate in relation to that of its service.
+    ``stream_weights`` holds the summed weights of the running streams by
+    their pause targets. Times are in seconds of the monotonic clock.
     """
 
     def __init__(
-        self, cache: PrefixCacheEstimate, prefill_tokens_per_second: float
+        self,
+        cache: PrefixCacheEstimate,
+        timing: ServiceTiming,
+        call_expiry_seconds: float = DEFAULT_CALL_EXPIRY_SECONDS,
     ) -> None:
-        """Create the load of an idle instance."""
+        """Create the load of an idle instance of a service."""
         self.cache = cache
-        self.prefill_tokens_per_second = prefill_tokens_per_second
-        self._sent_at: dict[int, float] = {}
+        self.timing = timing
+        self.call_expiry_seconds = call_expiry_seconds
+        self.speed_ratio = 1.0
+        self.stream_weights: dict[float, float] = {}
+        self._pause_ratio = 1.0
+        self._running: dict[int, _RunningCall] = {}
         self._pending: dict[int, _PendingPrefill] = {}
         self._prefill_since = 0.0
+        self._recent_tokens = 0.0
+        self._recent_token_squares = 0.0
+        self._recent_at = 0.0
+
+    @property
+    def prefill_tokens_per_second(self) -> float:
+        """The estimated prefill rate of this instance."""
+        return self.timing.prefill_tokens_per_second * self.speed_ratio
 
     def start(self, call: CallStart, now: float) -> None:
         """Add a call that was sent to this instance."""
         if not self._pending:
             self._prefill_since = now
-        self._sent_at[call.call_id] = now
+        self._running[call.call_id] = _RunningCall(
+            now, call.weight, call.pause_target_seconds
+        )
+        if call.pause_target_seconds is not None:
+            self._add_stream(call.pause_target_seconds, call.weight)
         self._pending[call.call_id] = _PendingPrefill(
             call.urgency,
             call.prefill_tokens,
@@ -89,45 +134,81 @@
             now,
             not self._pending,
         )
+        self._decay_recent(now)
+        self._recent_tokens += call.prefill_tokens
+        self._recent_token_squares += call.prefill_tokens**2
         self.cache.add(call.prompt)
 
-    def note_first_event(self, call_id: int, now: float) -> None:
+    def note_first_event(
+        self, call_id: int, now: float, seconds: float = 0
+    ) -> None:
         """
         Record the first event of a call, which shows that prefill is done.
 
-        If the prompt was long and prefilled alone, its time also updates
-        the estimated prefill rate.
+        If the prompt was prefilled alone, its time also updates the
+        estimates.
+
+        :param seconds: the time since the call was sent, 0 if unknown.
         """
         pending = self._pending.pop(call_id, None)
         if pending is None:
             return
         self.cache.mark_prefilled(pending.prompt)
         self._prefill_since = now
-        prefill_seconds = now - pending.sent_at - _FIRST_EVENT_OVERHEAD_SECONDS
-        if not pending.had_no_backlog or pending.tokens < _MIN_SAMPLE_TOKENS:
-            return
-        if prefill_seconds > 0:
-            prefill_tokens_per_second = min(
-                _MAX_TOKENS_PER_SECOND,
-                max(_MIN_TOKENS_PER_SECOND, pending.tokens / prefill_seconds),
-            )
-            self.prefill_tokens_per_second += _RATE_SAMPLE_WEIGHT * (
-                prefill_tokens_per_second - self.prefill_tokens_per_second
+        if seconds and pending.had_no_backlog and pending.prompt.parts:
+            self._learn_speed(pending.tokens, seconds)
+
+    def note_pause(self, seconds: float, now: float) -> None:
+        """Learn from a pause of a stream that ends now."""
+        began_at = now - seconds
+        running_calls = self.running_calls(now)
+        if self._pending:
+            oldest = next(iter(self._pending.values()))
+            if oldest.sent_at <= began_at and self.backlog_seconds(None, now):
+                self.timing.note_prefill_pause(running_calls, seconds)
+        elif self._prefill_since <= began_at:
+            expected_seconds = self.timing.pause_seconds(running_calls)
+            ratio = min(_MAX_SPEED_RATIO, seconds / expected_seconds)
+            self._pause_ratio += _PAUSE_RATIO_SAMPLE_WEIGHT * (
+                ratio - self._pause_ratio
             )
+            self.timing.note_pause(running_calls, seconds)
 
     def end(self, call_id: int) -> None:
         """Remove a call."""
-        self._sent_at.pop(call_id, None)
+        running = self._running.pop(call_id, None)
         self._pending.pop(call_id, None)
+        if running is not None and running.pause_target_seconds is not None:
+            self._add_stream(running.pause_target_seconds, -running.weight)
+
+    def pause_seconds(self, running_calls: int) -> float:
+        """Return the mean pause of a stream, without prompts in prefill."""
+        return self._pause_ratio * self.timing.pause_seconds(running_calls)
+
+    def prefill_share(self, now: float) -> float:
+        """Return the share of time that prefill took lately, below 1."""
+        self._decay_recent(now)
+        return min(
+            _MAX_PREFILL_SHARE,
+            self._recent_tokens
+            / self.prefill_tokens_per_second
+            / _PREFILL_SHARE_SECONDS,
+        )
+
+    def recent_prompt_tokens(self) -> float:
+        """Return the mean size of the prompt that a prefilled token is of."""
+        if not self._recent_tokens:
+            return 0.0
+        return self._recent_token_squares / self._recent_tokens
 
     def running_calls(self, now: float) -> int:
         """Return the number of calls at the instance, without lost ones."""
-        while self._sent_at:
-            oldest = next(iter(self._sent_at))
-            if now - self._sent_at[oldest] <= CALL_EXPIRY_SECONDS:
+        while self._running:
+            oldest = next(iter(self._running))
+            if now - self._running[oldest].sent_at <= self.call_expiry_seconds:
                 break
             self.end(oldest)
-        return len(self._sent_at)
+        return len(self._running)
 
     def backlog_seconds(self, urgency: int | None, now: float) -> float:
         """
@@ -155,6 +236,35 @@
             max(0.0, ahead_tokens - prefilled) / self.prefill_tokens_per_second
         )
 
+    def _learn_speed(self, tokens: int, seconds: float) -> None:
+        timing = self.timing
+        prefill_seconds = max(0.0, seconds - timing.first_event_seconds)
+        expected_seconds = tokens / timing.prefill_tokens_per_second
+        timing.note_first_event(tokens, seconds)
+        # The time of a short prompt says little about the rate.
+        if expected_seconds < timing.first_event_seconds:
+            return
+        ratio = expected_seconds / max(prefill_seconds, _MIN_SECONDS)
+        self.speed_ratio += _SPEED_SAMPLE_WEIGHT * (
+            min(_MAX_SPEED_RATIO, max(_MIN_SPEED_RATIO, ratio))
+            - self.speed_ratio
+        )
+
+    def _add_stream(self, pause_target_seconds: float, weight: float) -> None:
+        total = self.stream_weights.get(pause_target_seconds, 0.0) + weight
+        if total > _MIN_WEIGHT:
+            self.stream_weights[pause_target_seconds] = total
+        else:
+            self.stream_weights.pop(pause_target_seconds, None)
+
+    def _decay_recent(self, now: float) -> None:
+        factor = math.exp(
+            -max(0.0, now - self._recent_at) / _PREFILL_SHARE_SECONDS
+        )
+        self._recent_tokens *= factor
+        self._recent_token_squares *= factor
+        self._recent_at = now
+
 
 class LoadTracker:
     """The loads of all server instances."""
@@ -163,6 +273,15 @@
         """Create a tracker without instances."""
         self._loads: dict[str, ServerLoad] = {}
         self._cache_sizes: dict[str, int] = {}
+        self._services: dict[str, str] = {}
+        self._timings: dict[str, ServiceTiming] = {}
+        self._call_expiry_seconds = DEFAULT_CALL_EXPIRY_SECONDS
+
+    def set_call_expiry(self, seconds: float) -> None:
+        """Drop calls after this time, the longest that any may run."""
+        self._call_expiry_seconds = seconds
+        for load in self._loads.values():
+            load.call_expiry_seconds = seconds
 
     def set_cache_size(self, instance_id: str, cache_tokens: int) -> None:
         """Set the size of an instance's prefix cache."""
@@ -177,7 +296,9 @@
         if load is None:
             tokens = self._cache_sizes.get(instance_id, _DEFAULT_CACHE_TOKENS)
             load = ServerLoad(
-                PrefixCacheEstimate(tokens), self._mean_prefill_rate()
+                PrefixCacheEstimate(tokens),
+                self._timing_of(instance_id),
+                self._call_expiry_seconds,
             )
             self._loads[instance_id] = load
         return load
@@ -187,12 +308,30 @@
         self.load_of(call.instance_id).start(call, now)
 
     def note_first_event(
-        self, instance_id: str, call_id: int, now: float
+        self, instance_id: str, call_id: int, now: float, seconds: float = 0
+    ) -> None:
+        """
+        Record the first event of a call.
+
+        :param seconds: the time since the call was sent, 0 if unknown.
+        """
+        load = self._loads.get(instance_id)
+        if load is not None:
+            load.note_first_event(call_id, now, seconds)
+
+    def note_pause(self, instance_id: str, seconds: float, now: float) -> None:
+        """Learn from a pause of a stream of an instance that ends now."""
+        load = self._loads.get(instance_id)
+        if load is not None:
+            load.note_pause(seconds, now)
+
+    def note_stream_end(
+        self, instance_id: str, max_output_tokens: int, events: int
     ) -> None:
-        """Record the first event of a call."""
+        """Learn from a complete stream how many events it had."""
         load = self._loads.get(instance_id)
         if load is not None:
-            load.note_first_event(call_id, now)
+            load.timing.note_stream_end(max_output_tokens, events)
 
     def end(self, instance_id: str, call_id: int) -> None:
         """Remove a call that ended."""
@@ -202,25 +341,27 @@
 
     def retain(self, instances: list[ServerInstance]) -> None:
         """Drop the loads of all instances but these."""
-        known = {instance.instance_id for instance in instances}
+        self._services = {
+            instance.instance_id: instance.service for instance in instances
+        }
         for instance_id in tuple(self._loads):
-            if instance_id not in known:
+            if instance_id not in self._services:
                 self._loads.pop(instance_id)
                 self._cache_sizes.pop(instance_id, None)
 
-    def _mean_prefill_rate(self) -> float:
-        if not self._loads:
-            return DEFAULT_PREFILL_TOKENS_PER_SECOND
-        rates = [
-            load.prefill_tokens_per_second for load in self._loads.values()
-        ]
-        return sum(rates) / len(rates)
+    def _timing_of(self, instance_id: str) -> ServiceTiming:
+        service = self._services.get(instance_id, '')
+        timing = self._timings.get(service)
+        if timing is None:
+            timing = ServiceTiming()
+            self._timings[service] = timing
+        return timing
 
 
 __all__ = (
-    'CALL_EXPIRY_SECONDS',
-    'DEFAULT_PREFILL_TOKENS_PER_SECOND',
+    'DEFAULT_CALL_EXPIRY_SECONDS',
     'CallStart',
     'LoadTracker',
     'ServerLoad',
+    'urgency_weight',
 )
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -4,33 +4,34 @@
 Each server gets a cost in seconds, and the lowest cost wins. The cost of a
 model call is about the time to its first token: the pending prefill of
 calls that are at least as urgent, the prefill of the part of its prompt that
-the server's cache lacks, and the calls that share the batch. Source of
-weighing cache hits against load: Srivatsa et al., "Preble: Efficient
-Distributed Prompt Scheduling for LLM Serving", 2024.
+the server's cache lacks, and the calls that share the batch. The predicted
+loss is added: the chance that the call's own stream misses its pause target
+there, and what its prefill adds to that of the streams that run there. So
+streams with short pause targets and long prompts keep apart where the learnt
+times of the engines make that worth it. Source of weighing cache hits against
+load: Srivatsa et al., "Preble: Efficient Distributed Prompt Scheduling for
+LLM Serving", 2024.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.scheduling._interactive import (
-    MAX_INTERACTIVE_PAUSE_SECONDS,
-    MAX_INTERACTIVE_PROMPT_TOKENS,
-    InteractiveDemand,
-)
+from burdockledge.scheduling._load import urgency_weight
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from random import Random
 
-    from burdockledge.relay import Prompt, ServerInstance
+    from burdockledge.calls import Prompt, ServerInstance
     from burdockledge.scheduling._health import HealthTracker
-    from burdockledge.scheduling._load import CallStart, LoadTracker, ServerLoad
+    from burdockledge.scheduling._load import LoadTracker, ServerLoad
 
-# What each call in the batch adds to the token steps up to a first token (a
-# few steps; 0.1 ms a step at the users' engines).
-_BATCH_SECONDS_PER_CALL: Final = 0.0005
+# The first tokens of a call take a few steps, each longer with every call in
+# the batch.
+_BATCH_EVENTS: Final = 2.0
 # Prefilling a part that another server caches also displaces other parts
 # from this server's cache, so it costs more than its time.
 _PREFILL_WEIGHT: Final = 4.0
@@ -42,22 +43,13 @@
 _CROSS_DATA_CENTRE_SECONDS: Final = 0.004
 # The wait at another server that is worth it to avoid a certain failure.
 _FAILURE_COST_SECONDS: Final = 1.0
+# The wait that is worth it to avoid that a stream of the highest urgency
+# misses its pause target.
+_MISS_COST_SECONDS: Final = 20.0
 # Cost of a plain call at a server that has as many calls as slots; it grows
 # in proportion to the calls.
 _FULL_SLOTS_COST_SECONDS: Final = 0.05
 _TIE_BREAK_SECONDS: Final = 0.0002
-# An interactive call leaves the reserved engines only if another engine is
-# better by more than this.
-_UNRESERVED_COST_SECONDS: Final = 0.4
-# Other calls use the reserved engines only if that saves more than this
-# multiple of their latency target.
-_RESERVED_COST_TARGETS: Final = 1.0
-# At a reserved engine with fewer calls than this, a long prompt disturbs
-# fewer streams, so the cost of using it is lower in proportion.
-_FULL_COST_CALLS: Final = 4
-# What each call at an engine adds to the pauses of an interactive stream,
-# with a margin for slow phases of the engine.
-_INTERACTIVE_SECONDS_PER_CALL: Final = 0.002
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,15 +67,6 @@
     latency_target_seconds: float = 1.0
     pause_target_seconds: float | None = None
 
-    @property
-    def is_interactive(self) -> bool:
-        """Whether the prompt and the pause target are both short."""
-        return (
-            self.pause_target_seconds is not None
-            and self.pause_target_seconds <= MAX_INTERACTIVE_PAUSE_SECONDS
-            and self.prompt.input_tokens <= MAX_INTERACTIVE_PROMPT_TOKENS
-        )
-
 
 @dataclass(frozen=True, slots=True)
 class PlacementChoice:
@@ -104,16 +87,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
-    """
-    A server that may get the call.
-
-    ``is_reserved``: whether it is reserved for interactive calls.
-    """
+    """A server that may get the call."""
 
     instance: ServerInstance
     load: ServerLoad
     running_calls: int
-    is_reserved: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,15 +125,6 @@
         self._loads = loads
         self._health = health
         self._random = random
-        self._interactive_demand: dict[str, InteractiveDemand] = {}
-
-    def note_start(self, service: str, call: CallStart, now: float) -> None:
-        """Add a call that any host sent to the service's demand."""
-        if call.is_interactive:
-            demand = self._interactive_demand.setdefault(
-                service, InteractiveDemand()
-            )
-            demand.add_call(call, now)
 
     def choose(
         self,
@@ -181,48 +150,31 @@
             for instance in untried
             if not self._health.is_paused(instance.instance_id, now)
         ]
-        reserved = self._reserved_instance_ids(healthy, request, now)
         loads = (
             (instance, self._loads.load_of(instance.instance_id))
             for instance in healthy or untried
         )
         candidates = [
-            _Candidate(
-                instance,
-                load,
-                load.running_calls(now),
-                instance.instance_id in reserved,
-            )
+            _Candidate(instance, load, load.running_calls(now))
             for instance, load in loads
         ]
         holder = _best_cache_holder(candidates, request) if healthy else None
+        usual_share = _mean_prefill_share(candidates, request, now)
         choices = [
-            self._score(candidate, request, now, holder)
+            self._score(candidate, request, now, holder, usual_share)
             for candidate in candidates
         ]
         return min(
             choices, key=lambda choice: choice.cost_seconds, default=None
         )
 
-    def _reserved_instance_ids(
-        self,
-        instances: list[ServerInstance],
-        request: PlacementRequest,
-        now: float,
-    ) -> frozenset[str]:
-        interactive_demand = self._interactive_demand.get(request.service)
-        if interactive_demand is None:
-            return frozenset()
-        return interactive_demand.reserved_instance_ids(
-            [instance.instance_id for instance in instances], now
-        )
-
     def _score(
         self,
         candidate: _Candidate,
         request: PlacementRequest,
         now: float,
         holder: _CacheHolder | None,
+        usual_share: float,
     ) -> PlacementChoice:
         instance = candidate.instance
         seconds = self._random.uniform(0, _TIE_BREAK_SECONDS)
@@ -240,9 +192,16 @@
             )
             return PlacementChoice(instance, seconds, 0, running_calls)
         prefill = _estimate_prefill(candidate, request, holder)
+        load = candidate.load
         seconds += prefill.seconds
-        seconds += _wait_cost_seconds(candidate, request, now)
-        seconds += _BATCH_SECONDS_PER_CALL * running_calls
+        seconds += load.backlog_seconds(request.urgency, now)
+        seconds += (
+            _BATCH_EVENTS * load.timing.pause_seconds_per_call * running_calls
+        )
+        seconds += _MISS_COST_SECONDS * (
+            _own_loss(candidate, request, now, usual_share)
+            + _loss_of_others(candidate, prefill.prefill_tokens)
+        )
         return PlacementChoice(
             instance,
             seconds,
@@ -280,25 +239,73 @@
     )
 
 
-def _wait_cost_seconds(
-    candidate: _Candidate, request: PlacementRequest, now: float
+def _mean_prefill_share(
+    candidates: list[_Candidate], request: PlacementRequest, now: float
 ) -> float:
+    if request.pause_target_seconds is None or not candidates:
+        return 0.0
+    shares = [candidate.load.prefill_share(now) for candidate in candidates]
+    return sum(shares) / len(shares)
+
+
+def _own_loss(
+    candidate: _Candidate,
+    request: PlacementRequest,
+    now: float,
+    usual_share: float,
+) -> float:
+    """
+    Return the weighted chance that the call's stream misses its pause target.
+
+    Prompts that arrive while it runs are forecast from the recent ones. Long
+    prompts keep away from engines with streams like it, but an engine without
+    them will get at least the usual share, even if it is idle now. So such
+    streams gather at few engines.
+    """
+    target_seconds = request.pause_target_seconds
+    if target_seconds is None:
+        return 0.0
     load = candidate.load
-    seconds = load.backlog_seconds(request.urgency, now)
-    if request.is_interactive:
-        seconds += load.backlog_seconds(None, now)
-        seconds += _INTERACTIVE_SECONDS_PER_CALL * candidate.running_calls
-        return (
-            seconds
-            if candidate.is_reserved
-            else seconds + _UNRESERVED_COST_SECONDS
-        )
-    if candidate.is_reserved:
-        crowding = min(1.0, candidate.running_calls / _FULL_COST_CALLS)
-        seconds += (
-            crowding * _RESERVED_COST_TARGETS * request.latency_target_seconds
-        )
-    return seconds
+    timing = load.timing
+    pause_seconds = load.pause_seconds(candidate.running_calls + 1)
+    prefill_share = load.prefill_share(now)
+    if all(other > target_seconds for other in load.stream_weights):
+        prefill_share = max(prefill_share, usual_share)
+    prompt_seconds = (
+        load.recent_prompt_tokens() / load.prefill_tokens_per_second
+    )
+    # The more of the time prefill takes, the more prompts follow each other
+    # without a gap.
+    prefill_pause_seconds = pause_seconds + min(
+        timing.prefill_pause_seconds, prompt_seconds / (1 - prefill_share)
+    )
+    miss_rate = (1 - prefill_share) * timing.miss_rate(
+        pause_seconds, target_seconds
+    ) + prefill_share * timing.miss_rate(prefill_pause_seconds, target_seconds)
+    events = timing.expected_events(request.prompt.max_output_tokens)
+    return urgency_weight(request.urgency) * (1 - math.exp(-events * miss_rate))
+
+
+def _loss_of_others(candidate: _Candidate, prefill_tokens: int) -> float:
+    """Return what a prefill adds to the weighted misses of running streams."""
+    load = candidate.load
+    if not load.stream_weights or not prefill_tokens:
+        return 0.0
+    timing = load.timing
+    pause_seconds = load.pause_seconds(candidate.running_calls)
+    prefill_seconds = prefill_tokens / load.prefill_tokens_per_second
+    prefill_pause_seconds = pause_seconds + min(
+        timing.prefill_pause_seconds, prefill_seconds
+    )
+    # A prompt lengthens one pause at least, the last one in part.
+    pauses = 1 + prefill_seconds / prefill_pause_seconds
+    loss = 0.0
+    for target_seconds, weight in load.stream_weights.items():
+        added_rate = timing.miss_rate(
+            prefill_pause_seconds, target_seconds
+        ) - timing.miss_rate(pause_seconds, target_seconds)
+        loss += weight * min(1.0, pauses * added_rate)
+    return loss
 
 
 def _best_cache_holder(
--- a/src/burdockledge/scheduling/_prefix_cache.py
+++ b/src/burdockledge/scheduling/_prefix_cache.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from burdockledge.relay import Prompt
+    from burdockledge.calls import Prompt
 
 
 class PrefixCacheEstimate:
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -73,8 +73,9 @@
     ``server`` is the hash of the server's key. ``unread_tokens`` are the
     prompt tokens that are not expected in its prefix cache; ``parts`` and
     ``part_tokens`` are the ids and lengths of the parts of the prompt.
-    ``output_tokens`` is the length that is allowed for the output. A brisk
-    call has a short prompt and tolerates short pauses only.
+    ``output_tokens`` is the length that is allowed for the output.
+    ``pause_target_ms`` is the longest pause between events of a stream that
+    is on time, 0 if there is none.
     """
 
     call: int
@@ -84,15 +85,22 @@
     parts: list[int]
     part_tokens: list[int]
     output_tokens: int
-    is_brisk: bool
+    # Unused, but hosts of versions before 0.4 reject a call without it.
+    is_brisk: bool = False
+    pause_target_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CallHeard:
-    """The first response event of a call arrived: its prompt was processed."""
+    """
+    The first response event of a call arrived: its prompt was processed.
+
+    ``first_event_ms`` is the time since the call was sent, 0 if unknown.
+    """
 
     call: int
     server: int
+    first_event_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -141,7 +141,10 @@
   5: list<i64> parts,
   6: list<i32> part_tokens,
   7: i32 output_tokens,
-  8: bool is_brisk,
+  // Unused, but hosts of versions before 0.4 reject a call without it.
+  8: bool is_brisk = 0,
+  // The longest pause between events that is on time; 0 if there is none.
+  9: i32 pause_target_ms = 0,
 }
 
 // The end of a call; ``result`` is a member of ``CallResult``.
@@ -155,6 +158,8 @@
 struct CallHeard {
   1: i64 call,
   2: i64 server,
+  // The time since the call was sent; 0 if it is unknown.
+  3: i32 first_event_ms = 0,
 }
 
 // A fragment of a compressed note that does not fit into a datagram.
--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -8,11 +8,12 @@
 from dataclasses import dataclass
 from random import Random
 
+from burdockledge.calls import ServerInstance
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
 from burdockledge.membership import MemberTable
 from burdockledge.platform import Front, HttpServerClient
-from burdockledge.relay import Placement, Relay, ServerInstance
+from burdockledge.relay import Placement, Relay
 from burdockledge.settings import RelayHostSettings
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import MemberStatus, MemberUpdate
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -9,9 +9,9 @@
 import pytest
 from result import Err, Ok
 
+from burdockledge.calls import RouteKind, Team
 from burdockledge.platform import PlatformDecoder, load_host_settings
 from burdockledge.registry import ServerState
-from burdockledge.relay import RouteKind, Team
 
 SERVER_RECORD: dict[str, Any] = {
     'backend': 'huvo11a',
--- a/tests/platform_adapter/test_front.py
+++ b/tests/platform_adapter/test_front.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from burdockledge.relay import CallerLimits
+from burdockledge.calls import CallerLimits
 from burdockledge.wire import MemberStatus, MemberUpdate
 from tests.platform_adapter.front_harness import (
     FrontHarness,
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from burdockledge.calls import ServerInstance
 from burdockledge.registry import (
     EXPIRY_GRACE_SECONDS,
     Registration,
     ServerRegistry,
     ServerState,
 )
-from burdockledge.relay import ServerInstance
 
 
 def registration(
--- a/tests/relay/test_replicated_state.py
+++ b/tests/relay/test_replicated_state.py
@@ -6,6 +6,18 @@
 
 import pytest
 
+from burdockledge.calls import (
+    CallerLimits,
+    EngineConfiguration,
+    Prompt,
+    PromptPart,
+    Route,
+    RouteKind,
+    RoutingDocument,
+    ServerInstance,
+    ServiceConfiguration,
+    ServiceShare,
+)
 from burdockledge.clock import VirtualClock, VirtualTimeLoop
 from burdockledge.fakes import FakeDatagramSocket, FakeNetwork
 from burdockledge.peers import PeerKeys
@@ -14,19 +26,9 @@
     CONFIGURATION_STREAM,
     SERVERS_STREAM,
     STREAMS,
-    CallerLimits,
-    EngineConfiguration,
-    Prompt,
-    PromptPart,
     RecordDecoder,
     ReplicatedRoutingState,
     RetryBudgetSettings,
-    Route,
-    RouteKind,
-    RoutingDocument,
-    ServerInstance,
-    ServiceConfiguration,
-    ServiceShare,
 )
 from burdockledge.replication import GossipExchange, Peer
 from burdockledge.wire import StreamEntry, StreamUpdate
--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -10,7 +10,11 @@
 from burdockledge.host import RelayHost
 from burdockledge.platform import _calls, _servers
 from burdockledge.registry import ServerRegistry
-from burdockledge.relay import ReplicatedRoutingState, _forwarder, _responder
+from burdockledge.relay import (
+    ReplicatedRoutingState,
+    _forwarder,
+    _responder,
+)
 from burdockledge.relay import _relay as relay_module
 
 
