--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -61,6 +61,8 @@
 _MIN_DRAIN_SECONDS: Final = 3.0
 # Time left for closing connections before the platform sends SIGKILL.
 _KILL_MARGIN_SECONDS: Final = 0.6
+# Calls in flight get at least this long while the connections close.
+_MIN_SHUTDOWN_SECONDS: Final = 0.2
 _DRAIN_IDLE_SECONDS: Final = 0.5
 _DRAIN_POLL_SECONDS: Final = 0.1
 _MAX_TIME_LINE_EVENTS: Final = 1000
@@ -196,8 +198,13 @@
                 is_min_drain_over
                 and loop.time() - last_busy_at >= _DRAIN_IDLE_SECONDS
             ):
-                return
+                break
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        # Calls that arrive between here and the close are answered, too.
+        self.front.shutdown_seconds = max(
+            _MIN_SHUTDOWN_SECONDS,
+            max_drain_seconds - (loop.time() - started_at),
+        )
 
     async def stop(self) -> None:
         """Stop every service."""
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -10,10 +10,11 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
+from burdockledge.calls import CallerLimits
 from burdockledge.kernel import Service
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import BadCallError, decode_call
-from burdockledge.relay import CallerLimits, CallerPort
+from burdockledge.relay import CallerPort
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -33,8 +34,9 @@
 # The rest of a rejected request is read this long: closing at once would reset
 # the connection before the caller has read the response.
 _LINGER_SECONDS: Final = 1.0
-# Requests in flight when the listeners close are cancelled after this time.
-_SHUTDOWN_SECONDS: Final = 0.05
+# Requests in flight when the listeners close are cancelled after this time,
+# unless the host has more left.
+_MIN_SHUTDOWN_SECONDS: Final = 0.05
 _HEADER_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -184,6 +186,8 @@
         )
         # Set when the host drains: responses then close their connection.
         self.is_closing = False
+        # How long requests in flight may take when the listeners have closed.
+        self.shutdown_seconds = _MIN_SHUTDOWN_SECONDS
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply changed limits, in full only to new connections."""
@@ -205,12 +209,18 @@
             await self._open_listener(Server(handler, access_log=None), address)
 
     async def stop(self) -> None:
-        """Close every listener and connection."""
+        """
+        Close every listener, and each connection once it is idle.
+
+        A request that arrived before is answered within
+        ``shutdown_seconds``.
+        """
         for server, listener in self._listeners:
             listener.close()
             # Closes idle connections, which shutdown() would wait for in vain.
             server.pre_shutdown()
-            await server.shutdown(_SHUTDOWN_SECONDS)
+        for server, _ in self._listeners:
+            await server.shutdown(self.shutdown_seconds)
 
     async def _open_listener(self, server: Server, address: str) -> None:
         ip, _, port = address.rpartition(':')
