Spare prompts a second read where streams are lost anyway

Change: the loss of others counts only streams that the prompts there let be on time.

Tests: a prompt follows its cached part at peak load (failed before); a stream that drips bytes is resumed elsewhere, one with pauses of 1.4 s is not.

--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -18,6 +18,7 @@
 _DEFAULT_CACHE_TOKENS: Final = 500_000
 _SPEED_SAMPLE_WEIGHT: Final = 0.2
 _PAUSE_RATIO_SAMPLE_WEIGHT: Final = 0.02
+_EVENTS_SAMPLE_WEIGHT: Final = 0.1
 # Bounds of the speed of a server in relation to others of its service.
 _MIN_SPEED_RATIO: Final = 0.1
 _MAX_SPEED_RATIO: Final = 4.0
@@ -105,6 +106,7 @@
         self.call_expiry_seconds = call_expiry_seconds
         self.speed_ratio = 1.0
         self.stream_weights: dict[float, float] = {}
+        self._stream_events: dict[float, float] = {}
         self._pause_ratio = 1.0
         self._running: dict[int, _RunningCall] = {}
         self._pending: dict[int, _PendingPrefill] = {}
@@ -127,6 +129,7 @@
         )
         if call.pause_target_seconds is not None:
             self._add_stream(call.pause_target_seconds, call.weight)
+            self._note_stream_events(call)
         self._pending[call.call_id] = _PendingPrefill(
             call.urgency,
             call.prefill_tokens,
@@ -185,6 +188,10 @@
         """Return the mean pause of a stream, without prompts in prefill."""
         return self._pause_ratio * self.timing.pause_seconds(running_calls)
 
+    def expected_events(self, pause_target_seconds: float) -> float:
+        """Return the usual number of events of streams with a pause target."""
+        return self._stream_events.get(pause_target_seconds, 1.0)
+
     def prefill_share(self, now: float) -> float:
         """Return the share of time that prefill took lately, below 1."""
         self._decay_recent(now)
@@ -257,6 +264,14 @@
         else:
             self.stream_weights.pop(pause_target_seconds, None)
 
+    def _note_stream_events(self, call: CallStart) -> None:
+        events = self.timing.expected_events(call.max_output_tokens)
+        target_seconds = call.pause_target_seconds or 0.0
+        known = self._stream_events.get(target_seconds, events)
+        self._stream_events[target_seconds] = known + _EVENTS_SAMPLE_WEIGHT * (
+            events - known
+        )
+
     def _decay_recent(self, now: float) -> None:
         factor = math.exp(
             -max(0.0, now - self._recent_at) / _PREFILL_SHARE_SECONDS
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.scheduling._load import urgency_weight
@@ -159,23 +159,35 @@
             for instance, load in loads
         ]
         holder = _best_cache_holder(candidates, request) if healthy else None
-        usual_share = _mean_prefill_share(candidates, request, now)
-        choices = [
-            self._score(candidate, request, now, holder, usual_share)
-            for candidate in candidates
-        ]
-        return min(
-            choices, key=lambda choice: choice.cost_seconds, default=None
+        costs = sorted(
+            (
+                (self._cost(candidate, request, now, holder), candidate)
+                for candidate in candidates
+            ),
+            key=lambda cost: cost[0].cost_seconds,
         )
+        usual_share = _mean_prefill_share(candidates, request, now)
+        best: PlacementChoice | None = None
+        for choice, candidate in costs:
+            # The loss is never negative, so no later server can be better.
+            if best is not None and choice.cost_seconds >= best.cost_seconds:
+                break
+            loss = _predicted_loss(
+                candidate, request, now, usual_share, choice.prefill_tokens
+            )
+            cost_seconds = choice.cost_seconds + _MISS_COST_SECONDS * loss
+            if best is None or cost_seconds < best.cost_seconds:
+                best = replace(choice, cost_seconds=cost_seconds)
+        return best
 
-    def _score(
+    def _cost(
         self,
         candidate: _Candidate,
         request: PlacementRequest,
         now: float,
         holder: _CacheHolder | None,
-        usual_share: float,
     ) -> PlacementChoice:
+        """Return the cost of a server without the predicted loss."""
         instance = candidate.instance
         seconds = self._random.uniform(0, _TIE_BREAK_SECONDS)
         if instance.data_centre != request.data_centre:
@@ -198,10 +210,6 @@
         seconds += (
             _BATCH_EVENTS * load.timing.pause_seconds_per_call * running_calls
         )
-        seconds += _MISS_COST_SECONDS * (
-            _own_loss(candidate, request, now, usual_share)
-            + _loss_of_others(candidate, prefill.prefill_tokens)
-        )
         return PlacementChoice(
             instance,
             seconds,
@@ -248,6 +256,21 @@
     return sum(shares) / len(shares)
 
 
+def _predicted_loss(
+    candidate: _Candidate,
+    request: PlacementRequest,
+    now: float,
+    usual_share: float,
+    prefill_tokens: int,
+) -> float:
+    """Return the weighted misses of pause targets that a choice adds."""
+    if not request.prompt.parts:
+        return 0.0
+    return _own_loss(candidate, request, now, usual_share) + _loss_of_others(
+        candidate, prefill_tokens, now
+    )
+
+
 def _own_loss(
     candidate: _Candidate,
     request: PlacementRequest,
@@ -271,6 +294,19 @@
     prefill_share = load.prefill_share(now)
     if all(other > target_seconds for other in load.stream_weights):
         prefill_share = max(prefill_share, usual_share)
+    miss_rate = _miss_rate(load, pause_seconds, prefill_share, target_seconds)
+    events = timing.expected_events(request.prompt.max_output_tokens)
+    return urgency_weight(request.urgency) * (1 - math.exp(-events * miss_rate))
+
+
+def _miss_rate(
+    load: ServerLoad,
+    pause_seconds: float,
+    prefill_share: float,
+    target_seconds: float,
+) -> float:
+    """Return the share of a stream's pauses that will exceed its target."""
+    timing = load.timing
     prompt_seconds = (
         load.recent_prompt_tokens() / load.prefill_tokens_per_second
     )
@@ -279,20 +315,26 @@
     prefill_pause_seconds = pause_seconds + min(
         timing.prefill_pause_seconds, prompt_seconds / (1 - prefill_share)
     )
-    miss_rate = (1 - prefill_share) * timing.miss_rate(
+    return (1 - prefill_share) * timing.miss_rate(
         pause_seconds, target_seconds
     ) + prefill_share * timing.miss_rate(prefill_pause_seconds, target_seconds)
-    events = timing.expected_events(request.prompt.max_output_tokens)
-    return urgency_weight(request.urgency) * (1 - math.exp(-events * miss_rate))
 
 
-def _loss_of_others(candidate: _Candidate, prefill_tokens: int) -> float:
-    """Return what a prefill adds to the weighted misses of running streams."""
+def _loss_of_others(
+    candidate: _Candidate, prefill_tokens: int, now: float
+) -> float:
+    """
+    Return what a prefill adds to the weighted misses of running streams.
+
+    Streams that the prompts there make miss their target anyway don't count,
+    so that at peak load prompts go where their cached parts are.
+    """
     load = candidate.load
     if not load.stream_weights or not prefill_tokens:
         return 0.0
     timing = load.timing
     pause_seconds = load.pause_seconds(candidate.running_calls)
+    prefill_share = load.prefill_share(now)
     prefill_seconds = prefill_tokens / load.prefill_tokens_per_second
     prefill_pause_seconds = pause_seconds + min(
         timing.prefill_pause_seconds, prefill_seconds
@@ -304,7 +346,10 @@
         added_rate = timing.miss_rate(
             prefill_pause_seconds, target_seconds
         ) - timing.miss_rate(pause_seconds, target_seconds)
-        loss += weight * min(1.0, pauses * added_rate)
+        usual_misses = load.expected_events(target_seconds) * _miss_rate(
+            load, pause_seconds, prefill_share, target_seconds
+        )
+        loss += weight * min(1.0, pauses * added_rate) * math.exp(-usual_misses)
     return loss
 
 
--- a/src/burdockledge/scheduling/_timing.py
+++ b/src/burdockledge/scheduling/_timing.py
@@ -47,7 +47,8 @@
     """
     The times of the engines of one service, learnt from their streams.
 
-    All times are in seconds.
+    ``prefill_tokens_per_second`` is the prefill rate of an engine without
+    other prompts. All times are in seconds.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,7 @@
             _TYPICAL_PROMPT_TOKENS,
             _FIRST_EVENT_RETENTION,
         )
+        self.prefill_tokens_per_second = DEFAULT_PREFILL_TOKENS_PER_SECOND
         self._pause = LineEstimate(
             _PRIOR_PAUSE_SECONDS,
             _PRIOR_PAUSE_SECONDS_PER_CALL,
@@ -76,14 +78,6 @@
         """The time to a first event that doesn't depend on the prompt."""
         return self._first_event.intercept
 
-    @property
-    def prefill_tokens_per_second(self) -> float:
-        """The prefill rate of an engine without other prompts."""
-        return min(
-            _MAX_TOKENS_PER_SECOND,
-            max(_MIN_TOKENS_PER_SECOND, 1 / self._first_event.slope),
-        )
-
     @property
     def pause_seconds_per_call(self) -> float:
         """What one more running call adds to the pauses of the others."""
@@ -118,6 +112,10 @@
         self._first_event.add(
             tokens, _limit_sample(seconds, self._first_event.at(tokens))
         )
+        self.prefill_tokens_per_second = min(
+            _MAX_TOKENS_PER_SECOND,
+            max(_MIN_TOKENS_PER_SECOND, 1 / self._first_event.slope),
+        )
 
     def note_pause(self, running_calls: int, seconds: float) -> None:
         """Learn from a pause without a prompt in prefill."""
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -149,6 +149,7 @@
     assert second == pytest.approx(1.2)
 
 
+DRIP = (b'id: 2', 0.9, b'\n', 0.9, b'd', 0.9)
 STREAMS: list[tuple[str, tuple[Any, ...], bytes, str]] = [
     ('/stream/x', (FakeResponse(200, (events(1), events(2))),), events(1, 2),
      'whole'),
@@ -167,6 +168,11 @@
      'whole'),
     ('/resumed/x', (FakeResponse(200, (events(1), 1.7, events(2))),
                     FakeResponse(200, (events(2),))), events(1, 2), 'whole'),
+    # Bytes without a complete event are no progress.
+    ('/resumed/x', (FakeResponse(200, (events(1), *DRIP, events(2))),
+                    FakeResponse(200, (events(3),))), events(1, 3), 'whole'),
+    ('/resumed/x', (FakeResponse(200, (events(1), 1.4, events(2))),),
+     events(1, 2), 'whole'),
     ('/resumed/x', (FakeResponse(200, (events(1),), is_cut_off=True),
                     FakeResponse(200, (events(2),), is_cut_off=True)),
      events(1, 2), 'broken'),
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -157,6 +157,37 @@
     assert not stream_servers & long_prompt_servers
 
 
+def test_prompts_follow_their_cached_part_when_streams_are_lost_anyway() -> (
+    None
+):
+    """Peak load: prompts everywhere, so no engine is worth a second read."""
+    fleet = Fleet(server_count=3)
+    fleet.learn_prefill_pause(0.5)
+    holder = fleet.place(long_prompt_request(1, 10), has_first_event=True)
+    for instance in fleet.instances:
+        load = fleet.loads.load_of(instance.instance_id)
+        for index in range(20):
+            call_id = 1000 * (1 + len(load.stream_weights)) + index
+            prompt_ = prompt(500 + index, 600 + index)
+            start = CallStart(
+                call_id, instance.instance_id, 5, 14_000, prompt_, 100, 1.2
+            )
+            load.start(start, fleet.now)
+            load.note_first_event(call_id, fleet.now)
+    stream = interactive_request(own=7)
+    holder_load = fleet.loads.load_of(holder)
+    for index in range(5):
+        call_id = 9000 + index
+        start = CallStart(call_id, holder, 0, 100, stream.prompt, 170, 0.1)
+        holder_load.start(start, fleet.now)
+        holder_load.note_first_event(call_id, fleet.now)
+    parts = (PromptPart(1, 13_000), PromptPart(11, 6000))
+    request = PlacementRequest(
+        SERVICE, 5, Prompt(parts, 19_000, 100), 'a', 1.5, 1.2
+    )
+    assert fleet.place(request) == holder
+
+
 def test_long_prompts_share_engines_where_prefill_barely_pauses_streams() -> (
     None
 ):
