--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -45,7 +45,7 @@
 _FAILURE_COST_SECONDS: Final = 1.0
 # The wait that is worth it to avoid that a stream of the highest urgency
 # misses its pause target.
-_MISS_COST_SECONDS: Final = 20.0
+_MISS_COST_SECONDS: Final = 10.0
 # Cost of a plain call at a server that has as many calls as slots; it grows
 # in proportion to the calls.
 _FULL_SLOTS_COST_SECONDS: Final = 0.05
