Log the parts of a prompt and how far a broken response came

Cause: when an engine ended, the logs named neither the parts of the prompts that it had, nor which of the broken calls it had begun to answer, so that a part that crashes engines could not be told from a crash under load.

Change: `Placed.` names the parts that other calls share, `Send failed.` and the counter of sends how much of the response had arrived: nothing, its head, or content. No decision changes.

Tests: three cases of the counter; tests of relay pass.

--- a/src/burdockledge/calls/_types.py
+++ b/src/burdockledge/calls/_types.py
@@ -20,6 +20,15 @@
     stream = 'stream'
 
 
+class ResponseProgress(enum.Enum):
+    """How much of a server's response to one send has arrived."""
+
+    nothing = 'nothing'
+    head = 'head'
+    # A complete event of a stream, or another body as a whole.
+    content = 'content'
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
     """A service and its weight in the split of a route's calls."""
@@ -133,6 +142,11 @@
     input_tokens: int = 0
     max_output_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """All parts but the last, which belongs to this call alone."""
+        return self.parts[:-1]
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardedCall:
@@ -193,6 +207,7 @@
     'ForwardedCall',
     'Prompt',
     'PromptPart',
+    'ResponseProgress',
     'Route',
     'RouteKind',
     'RoutingDocument',
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -8,7 +8,7 @@
 
 from result import Err
 
-from burdockledge.calls import RouteKind
+from burdockledge.calls import ResponseProgress, RouteKind
 from burdockledge.relay._ports import (
     IncompleteResponseError,
     OutboundCall,
@@ -104,7 +104,8 @@
             )
             if placement is None:
                 break
-            result = await self._send_once(served, placement)
+            outcome = _SendOutcome()
+            result = await self._send_once(served, placement, outcome)
             if not isinstance(result, str):
                 return result
             why = result
@@ -115,6 +116,7 @@
                 send=served.sends,
                 runs=served.runs,
                 may_have_run=served.may_have_run,
+                received=outcome.progress.value,
                 why=why,
             )
         if served.has_response_started:
@@ -148,7 +150,7 @@
         return None
 
     async def _send_once(
-        self, served: ServedCall, placement: Placement
+        self, served: ServedCall, placement: Placement, outcome: _SendOutcome
     ) -> tuple[int, str] | str:
         """Send a call to one server, and record how that ended."""
         served.tried_instance_ids.add(placement.instance.instance_id)
@@ -156,12 +158,15 @@
             self._state.note_first_send(served.service)
         served.sends += 1
         self._log_placement(served, placement)
-        outcome = _SendOutcome(CallResult.abandoned)
         try:
             return await self._send_and_relay(served, placement, outcome)
         finally:
             self._state.note_end(placement, outcome.result)
-            self._metrics.count('sends', result=outcome.result.name)
+            self._metrics.count(
+                'sends',
+                result=outcome.result.name,
+                received=outcome.progress.value,
+            )
 
     async def _send_and_relay(
         self, served: ServedCall, placement: Placement, outcome: _SendOutcome
@@ -228,6 +233,7 @@
         outcome: _SendOutcome,
         response: ServerResponse,
     ) -> tuple[int, str] | str:
+        outcome.progress = ResponseProgress.head
         self._state.note_response_start(placement)
         if response.proves_not_run:
             outcome.result = CallResult.refused
@@ -238,7 +244,7 @@
         is_stream = served.route.kind is RouteKind.stream
         try:
             if is_success and is_stream:
-                await self._relay_stream(served, placement, response)
+                await self._relay_stream(served, placement, outcome, response)
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
             body = await response.read(_MAX_BODY_BYTES)
@@ -259,6 +265,7 @@
         response: ServerResponse,
         body: bytes,
     ) -> tuple[int, str] | str:
+        outcome.progress = ResponseProgress.content
         if response.status >= _SERVER_ERROR:
             outcome.result = CallResult.failed
             if self._has_attempt_left(served):
@@ -284,6 +291,7 @@
         self,
         served: ServedCall,
         placement: Placement,
+        outcome: _SendOutcome,
         response: ServerResponse,
     ) -> None:
         """
@@ -306,6 +314,7 @@
             events = served.event_buffer.feed(chunk)
             if not events:
                 continue
+            outcome.progress = ResponseProgress.content
             if not served.has_response_started:
                 await self._start_stream(served, response)
             self._note_write(served, placement, is_first=not writes)
@@ -363,6 +372,9 @@
             send=served.sends,
             expected_ms=round(placement.cost_seconds * _MS_PER_SECOND),
             unread=placement.prefill_tokens,
+            parts=[
+                f'{part.part_id:x}' for part in served.call.prompt.shared_parts
+            ],
             running=placement.running_calls,
             resumes_after=served.event_buffer.last_id,
             source=None
@@ -376,7 +388,8 @@
 class _SendOutcome:
     """The result of a send, updated as the send progresses."""
 
-    result: CallResult
+    result: CallResult = CallResult.abandoned
+    progress: ResponseProgress = ResponseProgress.nothing
 
 
 async def _next_chunk(
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -257,6 +257,7 @@
     client: FakeClient
     routing_state: FakeRoutingState
     seconds: float
+    metrics: Metrics
 
 
 def serve(
@@ -278,7 +279,8 @@
     state = routing_state or FakeRoutingState()
     client = FakeClient(list(script))
     caller = FakeCaller()
-    relay = Relay(state, client, VirtualClock(loop), Random(1), Metrics())
+    metrics = Metrics()
+    relay = Relay(state, client, VirtualClock(loop), Random(1), metrics)
 
     async def run() -> None:
         if stop is not None:
@@ -292,7 +294,7 @@
 
     try:
         loop.run_until_complete(run())
-        return RelayRun(caller, client, state, loop.time())
+        return RelayRun(caller, client, state, loop.time(), metrics)
     finally:
         loop.shut_down()
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -248,3 +248,19 @@
     monkeypatch.setattr(FakeRoutingState, 'routes', index)
     run = serve(call('/safe/x'), OK)
     assert run.client.sent[0].urgency == urgency
+
+
+@pytest.mark.parametrize(
+    ('step', 'received'),
+    [
+        (CONNECTION_BROKE, 'nothing'),
+        (FakeResponse(200, (), is_cut_off=True), 'head'),
+        (FakeResponse(200, (events(1),), is_cut_off=True), 'content'),
+    ],
+)
+def test_metrics_tell_how_far_a_broken_response_came(
+    step: ScriptStep, received: str
+) -> None:
+    """Which call a server began to answer when it ended shows its cause."""
+    metrics = serve(call('/stream/x'), step).metrics
+    assert metrics.counter('sends', result='unreachable', received=received)
