Reproduce engines that crash one after the other under a prompt part

Cause, seen by callers: streams cut and 502 as engine after engine crashed under one part of a prompt.

--- a/src/burdockledge/standins/_engine_http.py
+++ b/src/burdockledge/standins/_engine_http.py
@@ -10,11 +10,11 @@
 from aiohttp import web
 
 from burdockledge.standins._engine_model import EngineModel, Generation
+from burdockledge.standins._faults import FaultCommand
 from burdockledge.standins._serving import StandIn
 from burdockledge.standins._text import prompt_digest, token_text
 
 if TYPE_CHECKING:
-    from burdockledge.standins._faults import FaultCommand
     from burdockledge.standins._settings import EngineSettings
 
 _REQUEST_ID: Final = 'X-Request-Id'
@@ -31,7 +31,9 @@
     The field ``metadata.tokens`` of a request, which the router does not
     read, sets the length of its answer. Faults: slow (factor), silent (no
     tokens), crash (connections break), leaving (status 503), crossed
-    (answers carry a wrong request id).
+    (answers carry a wrong request id), fatal (a prompt that holds the text
+    of the fault crashes the engine as its answer begins, for as many seconds
+    as the factor says).
     """
 
     def __init__(self, settings: EngineSettings) -> None:
@@ -66,7 +68,9 @@
             return web.Response(status=503, text='leaving')
         body = json.loads(await request.read())
         request_id = request.headers.get(_REQUEST_ID, '')
-        generation = _make_generation(body, request_id)
+        generation = _make_generation(
+            body, request_id, self.faults.text('fatal')
+        )
         self.model.submit(generation)
         response = web.StreamResponse(
             headers={
@@ -96,6 +100,9 @@
             response_id = ''.join(reversed(response_id))
         while True:
             index = await self._next_token(response, generation)
+            if generation.is_fatal and index is not None:
+                self._end_under(request)
+                return response
             if index is None:
                 break
             event = _sse_event(response_id, body, is_chat, digest, index)
@@ -106,6 +113,14 @@
         await response.write_eof()
         return response
 
+    def _end_under(self, request: web.Request) -> None:
+        """Crash under a request, and come back after some seconds."""
+        seconds = self.faults.factor('fatal')
+        command = FaultCommand(fault='crash', seconds=seconds)
+        self.faults.apply(command)
+        self.on_fault(command)
+        _abort_connection(request)
+
     async def _next_token(
         self,
         response: web.StreamResponse,
@@ -140,7 +155,9 @@
         )
 
 
-def _make_generation(body: dict[str, Any], request_id: str) -> Generation:
+def _make_generation(
+    body: dict[str, Any], request_id: str, fatal_text: str
+) -> Generation:
     contents = [
         str(message.get('content')) for message in body.get('messages', ())
     ]
@@ -155,6 +172,7 @@
             output_tokens, int(body.get('max_tokens', output_tokens))
         ),
         priority=int(body.get('priority', 0)),
+        is_fatal=bool(fatal_text) and fatal_text in text,
     )
 
 
--- a/src/burdockledge/standins/_engine_model.py
+++ b/src/burdockledge/standins/_engine_model.py
@@ -26,7 +26,7 @@
 
     The tokens from ``next_index`` up to, but not including, ``end_index``
     are still to be generated. ``tokens`` receives the index of each token,
-    then None at the end.
+    then None at the end. A fatal one crashes the engine as it begins.
     """
 
     request_id: str
@@ -37,6 +37,7 @@
     priority: int
     tokens: asyncio.Queue[int | None] = field(default_factory=asyncio.Queue)
     is_cancelled: bool = False
+    is_fatal: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/standins/_faults.py
+++ b/src/burdockledge/standins/_faults.py
@@ -21,6 +21,7 @@
     seconds: float = Field(default=3600, ge=0)
     factor: float = Field(default=1, ge=0)
     probability: float = Field(default=1, ge=0, le=1)
+    text: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,11 @@
         command = self._active_command(fault)
         return 1 if command is None else command.factor
 
+    def text(self, fault: str) -> str:
+        """Return the text of a fault, empty if it is not active."""
+        command = self._active_command(fault)
+        return '' if command is None else command.text
+
     def _active_command(self, fault: str) -> FaultCommand | None:
         active = self._active.get(fault)
         if active is None or self._now() >= active.ends_at:
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -15,6 +15,8 @@
 TIMEOUTS_SECONDS = {'order': 2.0, 'lookup': 2.0, 'draft': 4.0, 'check': 4.0}
 _RESOLVE_TIMEOUT_SECONDS = 0.7
 _RESOLVE_RETRY_SECONDS = 0.3
+# Share of the streams whose prompts hold the fatal part while there is one.
+FATAL_SHARE = 0.2
 
 
 class SoakCaller:
@@ -86,6 +88,8 @@
             'Burdockledge-Tenant': 'forged',
             'Authorization': f'Token {outcome.key}',
         }
+        if outcome.kind in STREAM_KINDS:
+            headers['Burdockledge-Prompt-Prefix'] = self._prompt()
         trace = {'outcome': outcome}
         async with session.post(
             url, headers=headers, data=b'x' * 300, trace_request_ctx=trace
@@ -102,6 +106,15 @@
             else:
                 outcome.body = await response.read()
 
+    def _prompt(self) -> str:
+        """Return a system part, a document and a part of the request's own."""
+        document = f'd{self._random.randrange(16):x}'
+        fatal_part = self._record.fatal_part
+        if fatal_part is not None and self._random.random() < FATAL_SHARE:
+            document = fatal_part
+        own = self._random.getrandbits(31)
+        return f'a1:400,{document}:300,{own:x}:50'
+
     async def _resolve_hosts(self, session: aiohttp.ClientSession) -> None:
         host = self._random.choice(list(self._hosts.values()))
         url = f'http://{host.directory_address}/burdockledge/resolve?zone=a'
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -39,7 +39,18 @@
             Fault(at, kind, random.uniform(0.8, 4), random.getrandbits(32))
         )
         at += random.choice((0.1, 0.5, 1.5, 2.5))
-    return faults
+    # Drawn apart, so that the schedules of kept seeds stay as they were.
+    random = Random(f'{seed} server rules')
+    for kind in SERVER_RULE_FAULTS:
+        faults.append(
+            Fault(
+                random.uniform(1, 3),
+                kind,
+                seconds - random.uniform(4, 6),
+                random.getrandbits(32),
+            )
+        )
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 async def stop_host(soak_run: SoakRun, fault: Fault, random: Random) -> None:
@@ -148,6 +159,13 @@
         caller.pause_seconds *= 5
 
 
+async def set_fatal_part(
+    soak_run: SoakRun, fault: Fault, random: Random
+) -> None:
+    """Let servers end under one part of prompts."""
+    await soak_run.set_fatal_part(f'bad{fault.draw % 16:x}', fault.seconds)
+
+
 Injector = Callable[['SoakRun', Fault, Random], Awaitable[None]]
 FAULTS: dict[str, Injector] = {
     injector.__name__: injector
@@ -167,3 +185,6 @@
         increase_load,
     )
 }
+SERVER_RULE_FAULTS: dict[str, Injector] = {
+    injector.__name__: injector for injector in (set_fatal_part,)
+}
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -31,6 +31,10 @@
 # A host holds one connection per caller and a few per server.
 MAX_DESCRIPTORS = 250
 STARVATION_SECONDS = 8.0
+# The users' rule: after the fifth server that ended under a part of prompts,
+# at most three more requests with it.
+FATAL_PART_ENDS = 5
+FATAL_PART_ARRIVALS = 3
 
 
 def expected_body(request: str, server: str) -> bytes:
@@ -228,6 +232,28 @@
                 break
 
 
+def fatal_parts_stop_reaching_servers(record: Record) -> Iterator[str]:
+    """A part under which servers end is kept from them after the fifth."""
+    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    for part, ends in record.ends_under_part.items():
+        if len(ends) < FATAL_PART_ENDS:
+            continue
+        limit = (
+            ends[FATAL_PART_ENDS - 1]
+            + CONTACT_SECONDS
+            + _tolerance_seconds(record)
+        )
+        late = [
+            arrival
+            for arrival in record.arrivals
+            if part in arrival.parts
+            and arrival.at > limit
+            and not _host_had_fault(record, outcomes[arrival.request])
+        ]
+        if len(late) > FATAL_PART_ARRIVALS:
+            yield f'{len(late)} more requests with {part} reached servers'
+
+
 def no_kind_starves(record: Record) -> Iterator[str]:
     """No kind goes sent_in_gap for long while other requests are served."""
     served_at = [
@@ -316,6 +342,7 @@
     valid_requests_are_accepted,
     responses_arrive_in_time,
     retries_stay_in_budget,
+    fatal_parts_stop_reaching_servers,
     no_kind_starves,
     host_resources_are_bounded,
     hosts_exit_only_on_signal,
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -30,6 +30,8 @@
     ran: bool
     team: str | None
     spoilt: bool = False
+    # Parts of the prompt that other requests share.
+    parts: tuple[str, ...] = ()
 
 
 @dataclass
@@ -87,6 +89,10 @@
     teams: dict[str, str] = field(default_factory=dict)
     # When the store confirmed the revocation of each key.
     revoked: dict[str, float] = field(default_factory=dict)
+    # A part under which servers end as their answers begin, if there is one,
+    # and the times at which servers ended under each part.
+    fatal_part: str | None = None
+    ends_under_part: dict[str, list[float]] = field(default_factory=dict)
     # When each server announced that it is draining.
     drained: dict[str, float] = field(default_factory=dict)
     store_faults: list[Span] = field(default_factory=list)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -14,7 +14,12 @@
 from random import Random
 
 from tests.soak._callers import SoakCaller
-from tests.soak._faults import FAULTS, Fault, draw_schedule
+from tests.soak._faults import (
+    FAULTS,
+    SERVER_RULE_FAULTS,
+    Fault,
+    draw_schedule,
+)
 from tests.soak._hosts import SoakHost
 from tests.soak._oracle import find_violations
 from tests.soak._record import KINDS, Record
@@ -36,6 +41,8 @@
 # A draining server keeps serving a little longer than its drain limit.
 _DRAIN_TO_STOP_SECONDS = 5.0
 _READY_TIMEOUT_SECONDS = 15.0
+# Time until a server that ended under a request starts again.
+_RESTART_SECONDS = 1.5
 
 
 @dataclass(frozen=True)
@@ -130,7 +137,17 @@
         It is replaced once its registration expires if the fault lasts longer
         than half of the registration lifetime.
         """
-        server = random.choice(self.servers)
+        await self._crash(random.choice(self.servers), seconds)
+
+    async def set_fatal_part(self, part: str, seconds: float) -> None:
+        """Let servers end under a part of prompts for some seconds."""
+        self.record.fatal_part = part
+        await asyncio.sleep(seconds)
+        self.record.fatal_part = None
+
+    async def _crash(self, server: SoakServer, seconds: float) -> None:
+        if server not in self.servers:
+            return
         self.servers.remove(server)
         await server.stop(is_crash=True)
         await asyncio.sleep(seconds)
@@ -188,7 +205,8 @@
         await self.stop_callers(caller_tasks)
 
     async def _inject_fault(self, fault: Fault) -> None:
-        await FAULTS[fault.kind](self, fault, Random(fault.draw))
+        injector = (FAULTS | SERVER_RULE_FAULTS)[fault.kind]
+        await injector(self, fault, Random(fault.draw))
 
     async def _record_usage(self) -> None:
         while True:
@@ -221,6 +239,9 @@
             name or f'{service}-{self._server_count}', service, self.record,
             self.store, Random(self._server_count),
         )  # fmt: skip
+        server.on_end = lambda ended: self._spawn(
+            self._crash(ended, _RESTART_SECONDS)
+        )
         zone = _ZONES[self._server_count % len(_ZONES)]
         await server.start(f'{self._subnet_prefix}.201', zone)
         self.servers.append(server)
--- a/tests/soak/_servers.py
+++ b/tests/soak/_servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from random import Random
 
 from aiohttp import web
@@ -47,6 +48,8 @@
         self._state = 'ready'
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.fault: str | None = None
+        # Called when a request ends this server.
+        self.on_end: Callable[[SoakServer], None] | None = None
 
     async def start(self, ip: str, zone: str) -> None:
         """Listen and register in the store."""
@@ -107,6 +110,7 @@
         arrival = Arrival(
             request_id, self.service, self.name, time.monotonic(), ran=True,
             team=request.headers.get('Burdockledge-Tenant'),
+            parts=_shared_parts(request),
         )  # fmt: skip
         self._record.arrivals.append(arrival)
         await request.read()
@@ -131,6 +135,8 @@
         kind = request.path.split('/')[1]
         if kind in STREAM_KINDS:
             response = self._create_stream_response(request_id)
+            if self._record.fatal_part in arrival.parts:
+                await self._end_under(arrival, request, response)
             with contextlib.suppress(ConnectionError):
                 # The caller recorded what it received before disconnecting.
                 await self._stream(request, response, request_id, fault)
@@ -143,6 +149,24 @@
             headers=self._headers(request_id),
         )
 
+    async def _end_under(
+        self,
+        arrival: Arrival,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+    ) -> None:
+        """End this server as the answer to a request begins."""
+        arrival.spoilt = True
+        await response.prepare(request)
+        await asyncio.sleep(_EVENT_SECONDS)
+        if self.on_end is not None:
+            self._record.ends_under_part.setdefault(
+                self._record.fatal_part or '', []
+            ).append(time.monotonic())
+            self.on_end(self)
+            self.on_end = None
+        await asyncio.sleep(_HANG_SECONDS)
+
     def _create_stream_response(self, request_id: str) -> web.StreamResponse:
         response = web.StreamResponse(headers=self._headers(request_id))
         response.content_type = 'text/event-stream'
@@ -174,6 +198,11 @@
         }
 
 
+def _shared_parts(request: web.BaseRequest) -> tuple[str, ...]:
+    parts = request.headers.get('Burdockledge-Prompt-Prefix', '').split(',')
+    return tuple(part.partition(':')[0] for part in parts[:-1])
+
+
 def _abort(request: web.BaseRequest) -> None:
     transport = request.transport
     if transport is not None:
