Keep a prompt part that crashes engines away from them

Cause: a call that destroys what serves it. A host took the end of an engine for a failed send, paused the engine and forgot the call; the next request with the same part was placed on a sound engine, by any host.

Change: a quarantine package decides without network or clock. A crash counts once per engine instance, against parts of calls that were sent after the crash before, so that groups of crashes blame nothing; the part that explains most crashes is blocked first and its crashes count for no other part. Two crashes with a head or four without block a part, twice as many one that was answered before; from the first on it is at one engine at a time, and a call that may have run is not repeated. A whole answer clears its parts, a later answer of the same instance its crash. Evidence is a set that merges in any order; hosts tell it at once and compare digests with random peers. One host keeps a block in the store for fleets that restart. After 120 s one host of the fleet tries the part, a second time after 480 s more; then only an operator releases it. Blocked calls get 503 if they reached no server, with the time of the trial as Retry-After, 502 if they may have run.

--- a/src/burdockledge/cli/_explain.py
+++ b/src/burdockledge/cli/_explain.py
@@ -46,6 +46,12 @@
     'time limit': (
         'it was sent, and the server did not respond within its time limit'
     ),
+    'a part of its prompt crashes servers': (
+        'servers crashed under a part of its prompt, which is kept from them'
+    ),
+    'a part of its prompt may crash servers': (
+        'another call with a part of its prompt was to begin first'
+    ),
     'the time limit cut': (
         'the response had started and was not complete in time'
     ),
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -32,6 +32,7 @@
     RetryBudgetSettings,
 )
 from burdockledge.replication import (
+    EvidenceKeeper,
     GossipExchange,
     Peer,
     ReadSchedule,
@@ -48,6 +49,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from burdockledge.quarantine import QuarantineEvent
     from burdockledge.relay import RouteIndex
     from burdockledge.settings import RelayHostSettings
 
@@ -126,11 +128,12 @@
             random,
         )
         self.read_schedule = ReadSchedule(_read_period_seconds(settings))
+        store_client = StoreClient(settings.store_address, session, clock)
         self.store_reader = StoreReader(
             settings.host,
             settings.peer_address,
             STREAMS,
-            StoreClient(settings.store_address, session, clock),
+            store_client,
             self.exchange,
             self.read_schedule,
             clock,
@@ -146,6 +149,13 @@
             clock,
             random,
         )
+        self.evidence_keeper = EvidenceKeeper(
+            settings.host,
+            store_client,
+            self.routing_state.parts.quarantine,
+            clock,
+            random,
+        )
         self.relay = Relay(
             self.routing_state, self.server_client, clock, random, self.metrics
         )
@@ -164,6 +174,7 @@
             self.membership,
             self.exchange,
             self.store_reader,
+            self.evidence_keeper,
         ):
             self.kernel.register(service)
 
@@ -240,6 +251,10 @@
         self.exchange.bootstrap_addresses = self._seed_addresses
         self.store_reader.list_hosts = self._host_names
         self.store_reader.on_registered_addresses = self.membership.add_seeds
+        self.evidence_keeper.list_hosts = self._host_names
+        parts = self.routing_state.parts
+        parts.quarantine.is_trial_host = self.evidence_keeper.is_writer
+        parts.on_event = self._count_part_event
         self.routing_state.host_count = self._host_count
         self.routing_state.on_routes = self._on_routes
 
@@ -250,6 +265,13 @@
             'calls_in_flight', lambda: self.relay.in_flight
         )
         metrics.set_gauge_function('hosts_known', self._host_count)
+        quarantine = self.routing_state.parts.quarantine
+        metrics.set_gauge_function(
+            'prompt_parts_blocked', lambda: len(quarantine.blocked)
+        )
+        metrics.set_gauge_function(
+            'prompt_parts_suspected', lambda: len(quarantine.suspected)
+        )
         metrics.set_gauge_function(
             'store_reads', lambda: self.store_reader.read_count
         )
@@ -263,6 +285,9 @@
                 stream=stream,
             )
 
+    def _count_part_event(self, event: QuarantineEvent) -> None:
+        self.metrics.count('prompt_part_events', event=event.event)
+
     def _stream_age_seconds(self, stream: str) -> float:
         state = self.exchange.state(stream)
         return state.age_ms(self._clock.monotonic()) / _MS_PER_SECOND
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -66,6 +66,7 @@
 CONFIGURATION_KEY: Final = 'config'
 SERVERS_TOPIC: Final = 'keyed.servers'
 HOSTS_TOPIC: Final = 'keyed.hosts'
+KEPT_TOPIC: Final = 'keyed.quarantine'
 
 __all__ = (
     'APPEND_PATH',
@@ -77,6 +78,7 @@
     'DIRECTORY_PATH',
     'EXPECTED_SERVER',
     'HOSTS_TOPIC',
+    'KEPT_TOPIC',
     'LAST_EVENT_ID',
     'METRICS_PATH',
     'NEWEST_PATH',
--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -108,20 +108,8 @@
 
         :return: whether the store accepted the record.
         """
-        key = host.encode()
         content = json.dumps({'address': peer_address}).encode()
-        record = bytes((len(key),)) + key + content
-        query = {'topic': names.HOSTS_TOPIC, 'part': '0'}
-        try:
-            status, _ = await self._call(
-                'POST',
-                names.APPEND_PATH,
-                query,
-                _RECORD_LENGTH.pack(len(record)) + record,
-            )
-        except _StoreError:
-            return False
-        return status == _OK
+        return await self._append(names.HOSTS_TOPIC, host, content)
 
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
         """Return the peer address of each host ever registered, by name."""
@@ -137,6 +125,44 @@
                     addresses[item.key] = address
         return Ok(addresses)
 
+    async def write_kept(self, key: str, content: bytes | None) -> bool:
+        """
+        Keep a record for hosts that start later; without content, drop it.
+
+        :return: whether the store accepted it.
+        """
+        return await self._append(names.KEPT_TOPIC, key, content or b'')
+
+    async def read_kept(self) -> Result[dict[str, bytes], SourceFailure]:
+        """Return the kept records, by key."""
+        try:
+            pages = await self._read_newest_pages(names.KEPT_TOPIC)
+        except _StoreError as error:
+            return Err(error.failure)
+        return Ok(
+            {
+                item.key: base64.b64decode(item.value)
+                for page in pages
+                for item in page.items
+            }
+        )
+
+    async def _append(self, topic: str, key: str, content: bytes) -> bool:
+        """Append a record; return whether the store accepted it."""
+        encoded_key = key.encode()
+        record = bytes((len(encoded_key),)) + encoded_key + content
+        query = {'topic': topic, 'part': '0'}
+        try:
+            status, _ = await self._call(
+                'POST',
+                names.APPEND_PATH,
+                query,
+                _RECORD_LENGTH.pack(len(record)) + record,
+            )
+        except _StoreError:
+            return False
+        return status == _OK
+
     async def _read_tail(
         self, stream: str, topic: str, position: int
     ) -> StreamUpdate | None:
--- /dev/null
+++ b/src/burdockledge/quarantine/_parts.py
@@ -0,0 +1,55 @@
+"""Keys by which hosts name the prompt parts of a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from burdockledge.calls import Prompt
+
+_PART_BITS: Final = 32
+_PART_MASK: Final = (1 << _PART_BITS) - 1
+# Keys are signed 64-bit numbers on the wire.
+_SERVICE_MASK: Final = (1 << 31) - 1
+# Suspects name at most this many parts, the first ones of their prompts.
+_MAX_PARTS: Final = 16
+
+
+@dataclass(frozen=True, slots=True)
+class PartName:
+    """A prompt part of a service; the service is named by its hash."""
+
+    service_hash: int
+    part_id: int
+
+    @classmethod
+    def from_key(cls, key: int) -> PartName:
+        """Return the name that a key stands for."""
+        return cls(key >> _PART_BITS, key & _PART_MASK)
+
+    def __str__(self) -> str:
+        """Return the id of the part as callers send it."""
+        return f'{self.part_id:x}'
+
+
+def part_key(service: str, part_id: int) -> int:
+    """Return the key of a prompt part of a service, at least 2**32."""
+    service_hash = xxhash.xxh32_intdigest(service.encode()) & _SERVICE_MASK
+    return (max(1, service_hash) << _PART_BITS) | (part_id & _PART_MASK)
+
+
+def part_keys(service: str, prompt: Prompt) -> tuple[int, ...]:
+    """Return the keys of the parts that a prompt shares with others."""
+    shared = prompt.shared_parts
+    if not shared:
+        return ()
+    first = part_key(service, 0)
+    return tuple(
+        first | (part.part_id & _PART_MASK) for part in shared[:_MAX_PARTS]
+    )
+
+
+__all__ = ('PartName', 'part_key', 'part_keys')
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -16,6 +16,7 @@
     SendFailure,
     ServerClient,
     ServerResponse,
+    StalledResponseError,
 )
 from burdockledge.relay._relay import Relay
 from burdockledge.relay._replicated_state import (
@@ -27,7 +28,11 @@
 )
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex, RouteRefusal, pick_service
-from burdockledge.relay._routing_state import Placement, RoutingState
+from burdockledge.relay._routing_state import (
+    Placement,
+    RoutingState,
+    SendOutcome,
+)
 
 __all__ = (
     'CONFIGURATION_STREAM',
@@ -49,7 +54,9 @@
     'RouteRefusal',
     'RoutingState',
     'SendFailure',
+    'SendOutcome',
     'ServerClient',
     'ServerResponse',
+    'StalledResponseError',
     'pick_service',
 )
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from result import Err
 
 from burdockledge.calls import ResponseProgress, RouteKind
+from burdockledge.quarantine import Verdict
 from burdockledge.relay._ports import (
     IncompleteResponseError,
     OutboundCall,
     OversizedResponseError,
     SendFailure,
+    StalledResponseError,
 )
 from burdockledge.relay._responder import BAD_GATEWAY, UNAVAILABLE
+from burdockledge.relay._routing_state import SendOutcome
 from burdockledge.scheduling import CallResult
 from burdockledge.telemetry import make_logger
 
@@ -57,6 +59,14 @@
 # A response that is not a stream is held in memory until it is complete. The
 # bound is that of the largest request bodies by default.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+# A call with a suspected part waits this long for another one to begin, as a
+# multiple of its route's latency target.
+_HOLD_LATENCY_TARGETS: Final = 0.5
+_HOLD_POLL_SECONDS: Final = 0.02
+_REASON_BY_VERDICT: Final = {
+    Verdict.blocked: 'a part of its prompt crashes servers',
+    Verdict.deferred: 'a part of its prompt may crash servers',
+}
 _MS_PER_SECOND: Final = 1000
 
 
@@ -92,41 +102,63 @@
     async def forward(self, served: ServedCall) -> tuple[int, str]:
         """Send a call until its caller has a response."""
         why = 'no server is known'
-        while served.sends < _MAX_SENDS:
-            if served.sends and not self._may_retry(served):
+        while self._may_send(served):
+            verdict = await self._wait_for_verdict(served)
+            if verdict is not Verdict.allowed:
+                why = _REASON_BY_VERDICT[verdict]
                 break
-            placement = self._state.place(
-                served.service,
-                served.route,
-                served.urgency,
-                served.call.prompt,
-                frozenset(served.tried_instance_ids),
-            )
+            placement = self._place(served)
             if placement is None:
                 break
-            outcome = _SendOutcome()
-            result = await self._send_once(served, placement, outcome)
+            result = await self._send_once(served, placement)
             if not isinstance(result, str):
                 return result
             why = result
-            _log.info(
-                'Send failed.',
-                request=served.call.request_id,
-                server=placement.instance.server_id,
-                send=served.sends,
-                runs=served.runs,
-                may_have_run=served.may_have_run,
-                received=outcome.progress.value,
-                why=why,
-            )
+        return await self._give_up(served, why)
+
+    def _place(self, served: ServedCall) -> Placement | None:
+        return self._state.place(
+            served.service,
+            served.route,
+            served.urgency,
+            served.call.prompt,
+            frozenset(served.tried_instance_ids),
+        )
+
+    async def _give_up(self, served: ServedCall, why: str) -> tuple[int, str]:
+        """Tell the caller that its call got no answer."""
         if served.has_response_started:
             served.caller.abort()
             return 0, why
         if served.may_have_run:
             return await self._responder.send_error(served, BAD_GATEWAY, why)
-        return await self._responder.send_error(served, UNAVAILABLE, why)
+        return await self._responder.send_error(
+            served,
+            UNAVAILABLE,
+            why,
+            self._state.blocked_seconds(served.service, served.call.prompt),
+        )
 
-    def _may_retry(self, served: ServedCall) -> bool:
+    async def _wait_for_verdict(self, served: ServedCall) -> Verdict:
+        """Return whether a call may be sent; wait while that is undecided."""
+        hold_until = (
+            self._clock.monotonic()
+            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
+        )
+        while True:
+            verdict = self._state.verdict(served.service, served.call.prompt)
+            if (
+                verdict is not Verdict.deferred
+                or self._clock.monotonic() >= hold_until
+            ):
+                return verdict
+            await asyncio.sleep(_HOLD_POLL_SECONDS)
+
+    def _may_send(self, served: ServedCall) -> bool:
+        if not served.sends:
+            return True
+        if served.sends >= _MAX_SENDS:
+            return False
         reason = self._reason_not_to_retry(served)
         if reason is None:
             return True
@@ -145,12 +177,14 @@
                 return 'it may have run'
             if served.runs >= served.route.max_attempts:
                 return 'no attempt is left'
+            if not self._state.may_repeat(served.service, served.call.prompt):
+                return 'a part of its prompt may crash servers'
         if not self._state.take_retry(served.service):
             return 'the retry budget is spent'
         return None
 
     async def _send_once(
-        self, served: ServedCall, placement: Placement, outcome: _SendOutcome
+        self, served: ServedCall, placement: Placement
     ) -> tuple[int, str] | str:
         """Send a call to one server, and record how that ended."""
         served.tried_instance_ids.add(placement.instance.instance_id)
@@ -158,18 +192,31 @@
             self._state.note_first_send(served.service)
         served.sends += 1
         self._log_placement(served, placement)
+        outcome = SendOutcome()
         try:
-            return await self._send_and_relay(served, placement, outcome)
+            result = await self._send_and_relay(served, placement, outcome)
         finally:
-            self._state.note_end(placement, outcome.result)
+            self._state.note_end(placement, outcome)
             self._metrics.count(
                 'sends',
                 result=outcome.result.name,
                 received=outcome.progress.value,
             )
+        if isinstance(result, str):
+            _log.info(
+                'Send failed.',
+                request=served.call.request_id,
+                server=placement.instance.server_id,
+                send=served.sends,
+                runs=served.runs,
+                may_have_run=served.may_have_run,
+                received=outcome.progress.value,
+                why=result,
+            )
+        return result
 
     async def _send_and_relay(
-        self, served: ServedCall, placement: Placement, outcome: _SendOutcome
+        self, served: ServedCall, placement: Placement, outcome: SendOutcome
     ) -> tuple[int, str] | str:
         received = await self._send_request(served, placement)
         if isinstance(received, Err):
@@ -182,6 +229,7 @@
                 if failure is SendFailure.garbled
                 else CallResult.unreachable
             )
+            outcome.has_broken = failure is SendFailure.broken
             return failure.value
         response = received.ok_value
         try:
@@ -230,7 +278,7 @@
         self,
         served: ServedCall,
         placement: Placement,
-        outcome: _SendOutcome,
+        outcome: SendOutcome,
         response: ServerResponse,
     ) -> tuple[int, str] | str:
         outcome.progress = ResponseProgress.head
@@ -252,8 +300,9 @@
             outcome.result = CallResult.failed
             served.event_buffer.discard_partial()
             return 'the answer is too large'
-        except IncompleteResponseError:
+        except IncompleteResponseError as error:
             outcome.result = CallResult.unreachable
+            outcome.has_broken = not isinstance(error, StalledResponseError)
             served.event_buffer.discard_partial()
             return 'the answer broke off'
         return await self._relay_body(served, outcome, response, body)
@@ -261,7 +310,7 @@
     async def _relay_body(
         self,
         served: ServedCall,
-        outcome: _SendOutcome,
+        outcome: SendOutcome,
         response: ServerResponse,
         body: bytes,
     ) -> tuple[int, str] | str:
@@ -291,7 +340,7 @@
         self,
         served: ServedCall,
         placement: Placement,
-        outcome: _SendOutcome,
+        outcome: SendOutcome,
         response: ServerResponse,
     ) -> None:
         """
@@ -384,14 +433,6 @@
         )
 
 
-@dataclass(slots=True)
-class _SendOutcome:
-    """The result of a send, updated as the send progresses."""
-
-    result: CallResult = CallResult.abandoned
-    progress: ResponseProgress = ResponseProgress.nothing
-
-
 async def _next_chunk(
     chunks: AsyncIterator[bytes], stalls_at: float
 ) -> bytes | None:
@@ -399,13 +440,14 @@
     Return the next chunk of a response body, None at its end.
 
     :param stalls_at: until when to wait, in seconds of the event loop.
-    :raises IncompleteResponseError: if the body ends early or stalls.
+    :raises IncompleteResponseError: if the body ends early.
+    :raises StalledResponseError: if it stalls.
     """
     try:
         async with asyncio.timeout_at(stalls_at):
             return await anext(chunks, None)
     except TimeoutError as error:
-        raise IncompleteResponseError from error
+        raise StalledResponseError from error
 
 
 __all__ = ('Forwarder',)
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -36,6 +36,10 @@
     """The body of a response ended before it was complete."""
 
 
+class StalledResponseError(IncompleteResponseError):
+    """No part of a response came in time, over a sound connection."""
+
+
 class OversizedResponseError(IncompleteResponseError):
     """A response, or one event of it, is larger than a host may buffer."""
 
@@ -139,4 +143,5 @@
     'SendFailure',
     'ServerClient',
     'ServerResponse',
+    'StalledResponseError',
 )
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import Prompt, PromptPart
+from burdockledge.relay._part_guard import PartGuard
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
@@ -33,7 +34,9 @@
 
     from burdockledge.calls import Route, RoutingDocument, ServerInstance
     from burdockledge.clock import Clock
+    from burdockledge.quarantine import Verdict
     from burdockledge.registry import Registration, ServerRegistry
+    from burdockledge.relay._routing_state import SendOutcome
     from burdockledge.replication import GossipExchange
     from burdockledge.wire import Note
 
@@ -98,6 +101,7 @@
         self._loads = LoadTracker()
         self._health = HealthTracker(host)
         self._policy = PlacementPolicy(self._loads, self._health, random)
+        self.parts = PartGuard(exchange, clock, random)
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
@@ -116,6 +120,18 @@
         """Return the routes of the newest configuration, None before one."""
         return self._routes
 
+    def verdict(self, service: str, prompt: Prompt) -> Verdict:
+        """Return whether the parts of a prompt may reach servers now."""
+        return self.parts.verdict(service, prompt)
+
+    def may_repeat(self, service: str, prompt: Prompt) -> bool:
+        """Return whether a call that may have run may be sent again."""
+        return self.parts.may_repeat(service, prompt)
+
+    def blocked_seconds(self, service: str, prompt: Prompt) -> float | None:
+        """Return the time until a blocked call may be tried, None if never."""
+        return self.parts.blocked_seconds(service, prompt)
+
     def place(
         self,
         service: str,
@@ -151,7 +167,9 @@
             route.pause_target_seconds,
         )
         self._loads.start(start, now)
-        self._exchange.call_events.announce_start(_encode_call_start(start))
+        started = _encode_call_start(start)
+        self.parts.note_start(call_id, started.server, service, prompt)
+        self._exchange.call_events.announce_start(started)
         return Placement(
             call_id,
             choice.instance,
@@ -170,6 +188,7 @@
         self._loads.note_first_event(
             instance_id, placement.call_id, now, seconds
         )
+        self.parts.note_head(placement.call_id)
         self._exchange.call_events.announce_first_event(
             CallHeard(
                 placement.call_id,
@@ -192,13 +211,18 @@
             placement.instance.instance_id, max_output_tokens, events
         )
 
-    def note_end(self, placement: Placement, result: int) -> None:
-        """Record the result of a send, and tell the other hosts."""
+    def note_end(self, placement: Placement, outcome: SendOutcome) -> None:
+        """Record how a send ended, and tell the other hosts."""
         instance_id = placement.instance.instance_id
         self._loads.end(instance_id, placement.call_id)
-        self._record_result(instance_id, result, self._host)
+        self._record_result(instance_id, outcome.result, self._host)
+        self.parts.note_end(placement.call_id, outcome)
         self._exchange.call_events.announce_end(
-            CallEnded(placement.call_id, hash_server_key(instance_id), result)
+            CallEnded(
+                placement.call_id,
+                hash_server_key(instance_id),
+                outcome.result,
+            )
         )
 
     def note_first_send(self, service: str) -> None:
@@ -328,7 +352,11 @@
             if instance_id is None:
                 continue
             self._loads.start(_decode_call_start(started, instance_id), now)
+            service = self._registry.service_of(instance_id)
+            if service is not None:
+                self.parts.apply_start(started, service)
         for heard in note.heard:
+            self.parts.apply_head(heard)
             self._loads.note_first_event(
                 self._instance_ids_by_hash.get(heard.server, ''),
                 heard.call,
@@ -336,6 +364,7 @@
                 heard.first_event_ms / _MS_PER_SECOND,
             )
         for end in note.ended:
+            self.parts.apply_end(end)
             instance_id = self._instance_ids_by_hash.get(end.server)
             if instance_id is None or end.result not in _CALL_RESULTS:
                 continue
--- a/src/burdockledge/relay/_responder.py
+++ b/src/burdockledge/relay/_responder.py
@@ -54,17 +54,23 @@
         self._metrics = metrics
 
     async def send_error(
-        self, served: ServedCall, status: int, why: str
+        self,
+        served: ServedCall,
+        status: int,
+        why: str,
+        retry_after_seconds: float | None = 0.0,
     ) -> tuple[int, str]:
         """
         Send an error for an admitted call.
 
         :param status: 503 only if the call has not run and will not.
+        :param retry_after_seconds: when it may be served at the earliest;
+            None if that is not known.
         :return: the status and the reason, as given.
         """
         headers: Headers = ()
         if status == UNAVAILABLE:
-            headers = (('Retry-After', self._retry_after()),)
+            headers = self._retry_after_headers(retry_after_seconds)
         served.has_response_started = True
         await served.caller.send_response(status, headers, f'{why}\n'.encode())
         return status, why
@@ -137,6 +143,13 @@
             pause_ms=round(served.longest_pause_seconds * _MS_PER_SECOND),
         )
 
+    def _retry_after_headers(self, seconds: float | None) -> Headers:
+        if seconds is None:
+            return ()
+        if seconds:
+            return (('Retry-After', f'{seconds:.2f}'),)
+        return (('Retry-After', self._retry_after()),)
+
     def _retry_after(self) -> str:
         return f'{_RETRY_AFTER_SECONDS * self._random.uniform(0.5, 1.5):.2f}'
 
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -6,8 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from burdockledge.calls import ResponseProgress
+from burdockledge.scheduling import CallResult
+
 if TYPE_CHECKING:
     from burdockledge.calls import Prompt, Route, ServerInstance
+    from burdockledge.quarantine import Verdict
     from burdockledge.relay._routes import RouteIndex
 
 
@@ -33,6 +37,20 @@
     placed_at: float = 0.0
 
 
+@dataclass(slots=True)
+class SendOutcome:
+    """
+    How one send of a call ended, updated as the send progresses.
+
+    ``has_broken`` tells whether its connection broke, which is how the crash
+    of a server shows.
+    """
+
+    result: CallResult = CallResult.abandoned
+    progress: ResponseProgress = ResponseProgress.nothing
+    has_broken: bool = False
+
+
 class RoutingState(ABC):
     """
     What one host knows about the configuration, the servers and their loads.
@@ -48,6 +66,18 @@
     async def wait_ready(self) -> None:
         """Wait until the routes and the servers are known."""
 
+    @abstractmethod
+    def verdict(self, service: str, prompt: Prompt) -> Verdict:
+        """Return whether the parts of a prompt may reach servers now."""
+
+    @abstractmethod
+    def may_repeat(self, service: str, prompt: Prompt) -> bool:
+        """Return whether a call that may have run may be sent again."""
+
+    @abstractmethod
+    def blocked_seconds(self, service: str, prompt: Prompt) -> float | None:
+        """Return the time until a blocked call may be tried, None if never."""
+
     @abstractmethod
     def place(
         self,
@@ -80,8 +110,8 @@
         """Learn from a complete stream how many events it had."""
 
     @abstractmethod
-    def note_end(self, placement: Placement, result: int) -> None:
-        """Record the result of a send, a ``CallResult``."""
+    def note_end(self, placement: Placement, outcome: SendOutcome) -> None:
+        """Record how a send ended."""
 
     @abstractmethod
     def note_first_send(self, service: str) -> None:
@@ -96,4 +126,4 @@
         """Return the age of the older of configuration and server records."""
 
 
-__all__ = ('Placement', 'RoutingState')
+__all__ = ('Placement', 'RoutingState', 'SendOutcome')
--- a/src/burdockledge/replication/__init__.py
+++ b/src/burdockledge/replication/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from burdockledge.replication._evidence_keeper import EvidenceKeeper
 from burdockledge.replication._exchange import (
     GossipExchange,
     StreamListener,
@@ -23,6 +24,7 @@
 __all__ = (
     'MAX_FULL_MESH_HOSTS',
     'UNKNOWN_POSITION',
+    'EvidenceKeeper',
     'GossipExchange',
     'MergeResult',
     'Peer',
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -13,6 +13,7 @@
 from burdockledge.replication._state import StreamState
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
+    CrashSuspect,
     Note,
     NoteAssembler,
     StreamEntry,
@@ -29,6 +30,7 @@
     from burdockledge.clock import Clock
     from burdockledge.membership import DatagramSocket
     from burdockledge.peers import PeerKeys
+    from burdockledge.quarantine import Quarantine
     from burdockledge.replication._groups import Peer
 
 _log = make_logger('exchange')
@@ -42,6 +44,8 @@
 # A peer with the same records is only answered if the responder's last
 # confirmation of them is newer by more than this.
 _MIN_AGE_GAIN_MS: Final = 300
+# Instead of a digest, in evidence that needs no answer.
+_FINAL_EVIDENCE: Final = -1
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
 CallEventListener = Callable[[Note], None]
@@ -56,6 +60,9 @@
     with a random peer from time to time (anti-entropy). The starts, first
     events and ends of calls are gossiped too.
 
+    The evidence of a ``quarantine``, if there is one, is compared and
+    exchanged with that of random peers in the same way.
+
     ``on_change`` is called after each merged update, also if nothing changed;
     ``on_call_events`` is called with each note that may hold call events.
     ``bootstrap_addresses`` returns addresses to pull from while no peer is
@@ -87,6 +94,7 @@
         self.peers = KnownPeers(own_peer)
         self.call_events = CallEventSender(self.peers, self._send, random)
         self.bootstrap_addresses: Callable[[], list[str]] = list
+        self.quarantine: Quarantine | None = None
         self.on_change: StreamListener | None = None
         self.on_call_events: CallEventListener | None = None
 
@@ -119,6 +127,13 @@
         if changed:
             self.spawn(self._resend_later(increment))
 
+    def announce_suspect(self, suspect: CrashSuspect) -> None:
+        """Tell the other hosts at once that a server crashed under a call."""
+        self._send(
+            self.peers.groups.pick_targets(self._random),
+            Note(self._own_host, suspects=[suspect]),
+        )
+
     async def _resend_later(self, update: StreamUpdate) -> None:
         await asyncio.sleep(_RESEND_DELAY_SECONDS)
         self._gossip(update)
@@ -156,7 +171,14 @@
             )
             for stream in sorted(streams)
         ]
-        self._send([address], Note(self._own_host, pulls=pulls))
+        self._send(
+            [address],
+            Note(
+                self._own_host,
+                pulls=pulls,
+                evidence_digest=self._evidence_digest(),
+            ),
+        )
 
     def _send(self, addresses: list[str], note: Note) -> None:
         datagrams = self._make_datagrams(note)
@@ -198,11 +220,47 @@
             self._answer_pulls(note.pulls, source)
         if note.has_call_events:
             self.call_events.forward(note)
+        if note.has_evidence or note.evidence_digest is not None:
+            self._handle_evidence(note, source)
         if self.on_call_events is None:
             return
         for event_note in (note, *map(decode_note, note.passed)):
             self.on_call_events(event_note)
 
+    def _evidence_digest(self) -> int | None:
+        return None if self.quarantine is None else self.quarantine.digest
+
+    def _handle_evidence(self, note: Note, source: str) -> None:
+        """Merge evidence, and tell it on or answer with what it lacks."""
+        quarantine = self.quarantine
+        if quarantine is None:
+            return
+        now = self._clock.monotonic()
+        quarantine.merge(note.suspects, note.clearances, now)
+        if note.evidence_digest is None:
+            self._forward_suspects(note)
+        elif note.evidence_digest not in {_FINAL_EVIDENCE, quarantine.digest}:
+            suspects, clearances = quarantine.entries(now)
+            digest = _FINAL_EVIDENCE if note.has_evidence else quarantine.digest
+            self._send(
+                [source],
+                Note(
+                    self._own_host,
+                    suspects=suspects,
+                    clearances=clearances,
+                    evidence_digest=digest,
+                ),
+            )
+
+    def _forward_suspects(self, note: Note) -> None:
+        """Forward suspects of a host in another group to the own group."""
+        groups = self.peers.groups
+        if groups.is_in_other_group(note.host):
+            self._send(
+                groups.neighbour_addresses,
+                Note(self._own_host, suspects=note.suspects),
+            )
+
     def _answer_pulls(self, pulls: list[StreamPull], source: str) -> None:
         now = self._clock.monotonic()
         updates = [
--- a/src/burdockledge/replication/_source.py
+++ b/src/burdockledge/replication/_source.py
@@ -46,5 +46,17 @@
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
         """Return the peer address of every host ever registered, by name."""
 
+    @abstractmethod
+    async def write_kept(self, key: str, content: bytes | None) -> bool:
+        """
+        Keep a record for hosts that start later; without content, drop it.
+
+        :return: whether the store accepted it.
+        """
+
+    @abstractmethod
+    async def read_kept(self) -> Result[dict[str, bytes], SourceFailure]:
+        """Return the kept records, by key."""
+
 
 __all__ = ('RecordSource', 'SourceFailure')
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -112,6 +112,39 @@
     result: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashSuspect:
+    """
+    A call whose connection broke before its response had content.
+
+    ``server`` is the hash of the server's key, ``parts`` are keys of the
+    prompt parts that the call shares with others. ``had_head`` tells whether
+    the head of its response had arrived. ``sent_before_ms`` is the time from
+    the send to the break, ``age_ms`` the time since the break.
+    """
+
+    call: int
+    server: int
+    parts: list[int]
+    had_head: bool
+    sent_before_ms: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """
+    Voids the evidence against a prompt part, or the crash of a server.
+
+    ``subject`` is the key of the part or the hash of the server's key;
+    ``age_ms`` is the time since the clearance. Evidence after it counts.
+    """
+
+    id: int
+    subject: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Fragment:
     """A fragment of the compressed note with the number ``note``."""
@@ -130,7 +163,9 @@
     ``updates`` and ``pulls`` replicate streams. ``started``, ``heard`` and
     ``ended`` are call events of the sender. ``passed`` holds encoded notes of
     other hosts, forwarded within a group. ``fragment`` is a part of a note
-    that does not fit into a datagram.
+    that does not fit into a datagram. ``suspects`` and ``clearances`` are
+    evidence on crashes; ``evidence_digest`` asks for that of the receiver
+    unless it is the same, a negative one asks for none.
     """
 
     host: str
@@ -141,12 +176,20 @@
     ended: list[CallEnded] = field(default_factory=list)
     fragment: Fragment | None = None
     passed: list[bytes] = field(default_factory=list)
+    suspects: list[CrashSuspect] = field(default_factory=list)
+    clearances: list[Clearance] = field(default_factory=list)
+    evidence_digest: int | None = None
 
     @property
     def has_call_events(self) -> bool:
         """Whether the note holds call events of its sender."""
         return bool(self.started or self.heard or self.ended)
 
+    @property
+    def has_evidence(self) -> bool:
+        """Whether the note holds evidence on crashes."""
+        return bool(self.suspects or self.clearances)
+
 
 def hash_server_key(key: str) -> int:
     """Return the 32-bit hash that stands for a server's key in notes."""
@@ -166,6 +209,9 @@
             ended=build_struct_list(ttypes.CallEnded, note.ended),
             fragment=build_struct(ttypes.Fragment, note.fragment),
             passed=note.passed or None,
+            suspects=build_struct_list(ttypes.CrashSuspect, note.suspects),
+            clearances=build_struct_list(ttypes.Clearance, note.clearances),
+            evidence_digest=note.evidence_digest,
         ),
     )
 
@@ -190,6 +236,9 @@
         if raw.fragment is None
         else build_message(Fragment, raw.fragment),
         passed=list(raw.passed or ()),
+        suspects=build_message_list(CrashSuspect, raw.suspects),
+        clearances=build_message_list(Clearance, raw.clearances),
+        evidence_digest=raw.evidence_digest,
     )
 
 
@@ -300,6 +349,8 @@
     'CallEnded',
     'CallHeard',
     'CallStarted',
+    'Clearance',
+    'CrashSuspect',
     'Fragment',
     'Note',
     'NoteAssembler',
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -170,6 +170,28 @@
   4: binary content,
 }
 
+// A call whose connection broke before its response had content, as its server
+// crashed. ``parts`` are keys of the prompt parts that it shares with others.
+struct CrashSuspect {
+  1: i64 call,
+  2: i64 server,
+  3: list<i64> parts,
+  // Whether the head of the response had arrived.
+  4: bool had_head,
+  // The time from the send to the break.
+  5: i32 sent_before_ms,
+  // The time since the break.
+  6: i32 age_ms,
+}
+
+// Voids the evidence against a prompt part up to a time, or the crash of a
+// server. ``subject`` is the key of the part or the hash of the server's key.
+struct Clearance {
+  1: i64 id,
+  2: i64 subject,
+  3: i32 age_ms,
+}
+
 // A gossip message between two hosts.
 struct Note {
   1: string host,
@@ -181,4 +203,8 @@
   7: optional list<CallHeard> heard,
   // Encoded notes of other hosts, forwarded within a group.
   8: optional list<binary> passed,
+  9: optional list<CrashSuspect> suspects,
+  10: optional list<Clearance> clearances,
+  // Asks for the evidence of crashes unless the receiver's is the same.
+  11: optional i64 evidence_digest,
 }
--- a/tests/calls/test_package_order.py
+++ b/tests/calls/test_package_order.py
@@ -24,6 +24,7 @@
     'membership',
     'directory',
     'registry',
+    'quarantine',
     'scheduling',
     'replication',
     'relay',
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of prompt parts."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -21,6 +21,7 @@
     Team,
 )
 from burdockledge.clock import VirtualClock, VirtualTimeLoop
+from burdockledge.quarantine import Verdict
 from burdockledge.relay import (
     CallerPort,
     Headers,
@@ -32,6 +33,7 @@
     RouteIndex,
     RoutingState,
     SendFailure,
+    SendOutcome,
     ServerClient,
     ServerResponse,
 )
@@ -156,6 +158,10 @@
     pauses: list[float] = field(default_factory=list)
     stream_events: list[int] = field(default_factory=list)
     ready_after: float | None = None
+    verdicts: list[Verdict] = field(default_factory=list)
+    is_suspected: bool = False
+    release_seconds: float | None = 0.0
+    outcomes: list[SendOutcome] = field(default_factory=list)
 
     async def wait_ready(self) -> None:
         """Wait until the routes are known."""
@@ -169,6 +175,18 @@
         """Return the routes of ``DOCUMENT`` if they are known."""
         return RouteIndex(DOCUMENT) if self.has_routes else None
 
+    def verdict(self, service: str, prompt: Prompt) -> Verdict:
+        """Return the verdicts of the test in turn, then allow calls."""
+        return self.verdicts.pop(0) if self.verdicts else Verdict.allowed
+
+    def may_repeat(self, service: str, prompt: Prompt) -> bool:
+        """Return what the test gives."""
+        return not self.is_suspected
+
+    def blocked_seconds(self, service: str, prompt: Prompt) -> float | None:
+        """Return what the test gives."""
+        return self.release_seconds
+
     def place(
         self,
         service: str,
@@ -197,9 +215,10 @@
         """Record the number of events."""
         self.stream_events.append(events)
 
-    def note_end(self, placement: Placement, result: int) -> None:
+    def note_end(self, placement: Placement, outcome: SendOutcome) -> None:
         """Record the result."""
-        self.results.append(CallResult(result))
+        self.results.append(outcome.result)
+        self.outcomes.append(outcome)
 
     def note_first_send(self, service: str) -> None:
         """Do nothing."""
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from burdockledge.calls import ForwardedCall, Team
+from burdockledge.quarantine import Verdict
 from burdockledge.relay import RouteIndex, SendFailure
 from burdockledge.scheduling import CallResult
 from tests.relay.fakes import (
@@ -264,3 +265,78 @@
     """Which call a server began to answer when it ended shows its cause."""
     metrics = serve(call('/stream/x'), step).metrics
     assert metrics.counter('sends', result='unreachable', received=received)
+
+
+@pytest.mark.parametrize(
+    ('verdicts', 'script', 'status', 'sends'),
+    [
+        ([Verdict.blocked], (), 503, 0),
+        ([Verdict.deferred, Verdict.allowed], (OK,), 200, 1),
+        ([Verdict.deferred] * 100, (), 503, 0),
+        ([Verdict.allowed, Verdict.blocked], (REFUSED,), 503, 1),
+        ([Verdict.allowed, Verdict.blocked], (CONNECTION_BROKE,), 502, 1),
+    ],
+)
+def test_callers_of_a_blocked_part_hear_whether_their_call_ran(
+    verdicts: list[Verdict],
+    script: tuple[ScriptStep, ...],
+    status: int,
+    sends: int,
+) -> None:
+    """Guards against a 503 for a call that reached a server."""
+    state = FakeRoutingState(verdicts=verdicts)
+    run = serve(call('/safe/x'), *script, routing_state=state)
+    assert (run.caller.status, len(run.client.sent)) == (status, sends)
+
+
+def test_a_call_waits_for_a_verdict_half_its_latency_target() -> None:
+    """Guards against callers that wait for the verdict on a part."""
+    state = FakeRoutingState(verdicts=[Verdict.deferred] * 100)
+    assert serve(call('/safe/x'), routing_state=state).seconds < 0.25
+
+
+@pytest.mark.parametrize(
+    ('release_seconds', 'retry_after'),
+    [(31.5, '31.50'), (None, None)],
+)
+def test_retry_after_of_a_blocked_part_is_when_it_may_be_tried(
+    release_seconds: float | None, retry_after: str | None
+) -> None:
+    """Guards against callers that come back in vain every half second."""
+    state = FakeRoutingState(
+        verdicts=[Verdict.blocked], release_seconds=release_seconds
+    )
+    headers = dict(serve(call('/safe/x'), routing_state=state).caller.headers)
+    assert headers.get('Retry-After') == retry_after
+
+
+@pytest.mark.parametrize(
+    ('step', 'status', 'sends'),
+    [(CONNECTION_BROKE, 502, 1), (REFUSED, 200, 2), (NOT_CONNECTED, 200, 2)],
+)
+def test_a_suspected_call_is_repeated_only_if_it_did_not_run(
+    step: ScriptStep, status: int, sends: int
+) -> None:
+    """Guards against repeats that crash one engine after the other."""
+    state = FakeRoutingState(is_suspected=True)
+    run = serve(call('/safe/x'), step, OK, routing_state=state)
+    assert (run.caller.status, len(run.client.sent)) == (status, sends)
+
+
+@pytest.mark.parametrize(
+    ('step', 'has_broken'),
+    [
+        (CONNECTION_BROKE, True),
+        (CUT_OFF, True),
+        (NOT_CONNECTED, False),
+        (REFUSED, False),
+        (SendFailure.garbled, False),
+        (FakeResponse(200, (events(1), 30.0)), False),
+    ],
+)
+def test_only_a_broken_connection_shows_a_crash(
+    step: ScriptStep, has_broken: bool
+) -> None:
+    """Guards against taking a slow or refusing server for a crashed one."""
+    state = serve(call('/stream/x'), step, OK).routing_state
+    assert state.outcomes[0].has_broken is has_broken
--- a/tests/replication/hosts.py
+++ b/tests/replication/hosts.py
@@ -37,6 +37,8 @@
     refused_hosts: set[str] = field(default_factory=set)
     is_down: bool = False
     read_count: int = 0
+    kept: dict[str, bytes] = field(default_factory=dict)
+    kept_writes: int = 0
 
     def write(self, key: str, content: bytes | None) -> None:
         """Append a record; content None removes the key."""
@@ -77,6 +79,24 @@
         """Return no hosts; the hosts know each other in these tests."""
         return Ok({})
 
+    async def write_kept(self, key: str, content: bytes | None) -> bool:
+        """Keep a record, with a delay of 4 ms for the round trip."""
+        await asyncio.sleep(0.004)
+        if self._store.is_down or self._host in self._store.refused_hosts:
+            return False
+        self._store.kept_writes += 1
+        self._store.kept.pop(key, None)
+        if content is not None:
+            self._store.kept[key] = content
+        return True
+
+    async def read_kept(self) -> Result[dict[str, bytes], SourceFailure]:
+        """Return the kept records."""
+        await asyncio.sleep(0.004)
+        if self._store.is_down or self._host in self._store.refused_hosts:
+            return Err(SourceFailure.unavailable)
+        return Ok(dict(self._store.kept))
+
 
 @dataclass
 class SimulatedHost:
--- /dev/null
+++ b/tests/replication/test_evidence_keeper.py
@@ -0,0 +1,125 @@
+"""Blocks of prompt parts that outlive the hosts that found them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import pytest
+
+from burdockledge.clock import VirtualClock, VirtualTimeLoop
+from burdockledge.quarantine import Quarantine, part_key
+from burdockledge.replication import EvidenceKeeper
+from burdockledge.wire import CrashSuspect
+from tests.replication.hosts import FakeStore, FakeStoreClient
+
+BAD = part_key('model', 0xBAD)
+CRASHES = [CrashSuspect(n, n, [BAD], True, 200, 1000 * n) for n in (1, 2)]
+
+
+class KeepingHosts:
+    """Hosts that keep their blocks in one store."""
+
+    def __init__(self, loop: VirtualTimeLoop, names: tuple[str, ...]) -> None:
+        """Create the hosts of one life of the fleet."""
+        self.store = FakeStore()
+        self.quarantines: dict[str, Quarantine] = {}
+        self.keepers: dict[str, EvidenceKeeper] = {}
+        self._loop = loop
+        self._names = names
+
+    async def start(self) -> None:
+        """Start hosts without memory."""
+        for name in self._names:
+            quarantine = Quarantine()
+            keeper = EvidenceKeeper(
+                name, FakeStoreClient(self.store, name), quarantine,
+                VirtualClock(self._loop), Random(name),
+            )  # fmt: skip
+            keeper.list_hosts = lambda: list(self.keepers)
+            self.quarantines[name] = quarantine
+            self.keepers[name] = keeper
+            await keeper.start()
+
+    async def stop(self) -> None:
+        """Stop all hosts."""
+        for keeper in self.keepers.values():
+            await keeper.stop()
+        self.keepers.clear()
+
+
+def run_hosts(
+    scenario: Callable[[KeepingHosts], Awaitable[None]],
+    names: tuple[str, ...] = ('h1', 'h2', 'h3'),
+) -> None:
+    """Run a scenario in virtual time."""
+    loop = VirtualTimeLoop()
+
+    async def run() -> None:
+        hosts = KeepingHosts(loop, names)
+        await hosts.start()
+        await scenario(hosts)
+        await hosts.stop()
+
+    try:
+        loop.run_until_complete(run())
+    finally:
+        loop.shut_down()
+
+
+@pytest.mark.parametrize('outage_seconds', [0, 5])
+def test_a_block_outlives_a_restart_of_all_hosts(outage_seconds: float) -> None:
+    """Guards against crashes that a fleet without memory has to see again."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        await asyncio.sleep(1)
+        hosts.store.is_down = bool(outage_seconds)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(CRASHES, [], asyncio.get_running_loop().time())
+        await asyncio.sleep(outage_seconds)
+        hosts.store.is_down = False
+        await asyncio.sleep(4)
+        assert hosts.store.kept_writes == 1
+        await hosts.stop()
+        await hosts.start()
+        await asyncio.sleep(0.1)
+        for quarantine in hosts.quarantines.values():
+            assert set(quarantine.blocked) == {BAD}
+
+    run_hosts(scenario)
+
+
+def test_a_released_part_is_dropped_from_the_store() -> None:
+    """Guards against a release that ends with the next restart."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        await asyncio.sleep(1)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(CRASHES, [], 1)
+        await asyncio.sleep(2)
+        assert len(hosts.store.kept) == 1
+        for quarantine in hosts.quarantines.values():
+            quarantine.release(BAD, 5, 3)
+        await asyncio.sleep(2)
+        assert not hosts.store.kept
+
+    run_hosts(scenario)
+
+
+@pytest.mark.parametrize(
+    ('key', 'content'), [(str(BAD), b'\xff'), ('other', b'{}')]
+)
+def test_evidence_that_can_not_be_read_is_left_out(
+    key: str, content: bytes
+) -> None:
+    """Guards against hosts that fail at records of another writer."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        hosts.store.kept[key] = content
+        await hosts.stop()
+        await hosts.start()
+        await asyncio.sleep(0.1)
+        assert not any(one.blocked for one in hosts.quarantines.values())
+
+    run_hosts(scenario)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,8 @@
 REGRESSION_PLANS: dict[str, Plan] = {
     # SIGHUP terminated a host that was still loading its modules.
     'reload while loading': Plan(seed=110, seconds=16),
+    # 17 requests with a part that ends servers reached them after the fifth.
+    'fatal prompt part': Plan(seed=2, seconds=20),
 }
 SHORT_PLAN = Plan(seed=7, seconds=10, hosts=3, callers=6)
 
