Let operators see and release blocked prompt parts

Cause: a block could only be seen in the logs, and ended only by a trial.

Change: the control address lists blocked and suspected parts and releases one for a request signed with the keys of the hosts; `burdockledge parts list` and `parts release` use it.

Tests: both commands, wrong keys, an unknown part, a host that is away.

--- a/src/burdockledge/cli/_registry.py
+++ b/src/burdockledge/cli/_registry.py
@@ -38,6 +38,8 @@
     _entry('status', '_status', 'Status'),
     _entry('drain', '_drain', 'Drain'),
     _entry('timeline', '_timeline', 'Timeline'),
+    _entry('parts list', '_parts', 'Parts'),
+    _entry('parts release', '_parts', 'ReleasePart'),
     _entry('explain', '_explain', 'Explain'),
     _entry('load', '_load', 'Load'),
     _entry('bench relay', '_bench', 'BenchRelay'),
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -20,6 +20,7 @@
 from burdockledge.platform import (
     Front,
     HttpServerClient,
+    PartEndpoint,
     PlatformDecoder,
     StoreClient,
     load_host_settings,
@@ -164,6 +165,7 @@
             self.relay,
             Directory(self.membership.table, random),
             self.metrics,
+            PartEndpoint(self.routing_state.parts, keys),
         )
         self._clock = clock
         self._connect_components()
--- a/src/burdockledge/platform/__init__.py
+++ b/src/burdockledge/platform/__init__.py
@@ -4,6 +4,11 @@
 
 from burdockledge.platform._documents import PlatformDecoder
 from burdockledge.platform._front import Front
+from burdockledge.platform._part_endpoint import (
+    RELEASE_CONTEXT,
+    PartEndpoint,
+    PartRelease,
+)
 from burdockledge.platform._servers import HttpServerClient
 from burdockledge.platform._settings import load_host_settings
 from burdockledge.platform._store import StoreClient
@@ -11,7 +16,10 @@
 __all__ = (
     'Front',
     'HttpServerClient',
+    'PartEndpoint',
+    'PartRelease',
     'PlatformDecoder',
+    'RELEASE_CONTEXT',
     'StoreClient',
     'load_host_settings',
 )
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -21,6 +21,7 @@
     from aiohttp.web_request import BaseRequest
 
     from burdockledge.directory import Directory
+    from burdockledge.platform._part_endpoint import PartEndpoint
     from burdockledge.relay import Headers, Relay
     from burdockledge.settings import RelayHostSettings
     from burdockledge.telemetry import Metrics
@@ -174,8 +175,10 @@
         relay: Relay,
         directory: Directory,
         metrics: Metrics,
+        operators: PartEndpoint,
     ) -> None:
         """Create the servers; requires a running event loop."""
+        self._operators = operators
         self._settings = settings
         self._relay = relay
         self._directory = directory
@@ -204,7 +207,7 @@
         for address, handler in (
             (settings.directory_address, self._handle_directory),
             (settings.readiness_address, self._handle_readiness),
-            (settings.control_address, self._handle_metrics),
+            (settings.control_address, self._handle_control),
         ):
             await self._open_listener(Server(handler, access_log=None), address)
 
@@ -271,10 +274,12 @@
             _OK if self._directory.is_own_host_ready else _UNAVAILABLE
         )
 
-    async def _handle_metrics(self, request: BaseRequest) -> StreamResponse:
-        if request.path != names.METRICS_PATH:
-            return _empty_response(_NOT_FOUND)
-        return Response(text=self._metrics.render())
+    async def _handle_control(self, request: BaseRequest) -> StreamResponse:
+        if request.path == names.METRICS_PATH:
+            return Response(text=self._metrics.render())
+        if request.path == names.PARTS_PATH:
+            return await self._operators.handle(request)
+        return _empty_response(_NOT_FOUND)
 
 
 def _empty_response(status: int) -> Response:
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -57,6 +57,8 @@
 DIRECTORY_PATH: Final = '/burdockledge/resolve'
 READY_PATH: Final = '/burdockledge/ready'
 METRICS_PATH: Final = '/metrics'
+# Operators see and release blocked parts of prompts here.
+PARTS_PATH: Final = '/prompt-parts'
 
 # Paths, topics and keys of the platform's store.
 APPEND_PATH: Final = '/burdockledge/log-append'
@@ -83,6 +85,7 @@
     'METRICS_PATH',
     'NEWEST_PATH',
     'NOT_RUN',
+    'PARTS_PATH',
     'PROMPT_PARTS',
     'READY_PATH',
     'READ_PATH',
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from burdockledge.relay._event_buffer import EventBuffer
+from burdockledge.relay._part_guard import GuardedPart, PartOperations
 from burdockledge.relay._ports import (
     CallerPort,
     Headers,
@@ -40,10 +41,12 @@
     'STREAMS',
     'CallerPort',
     'EventBuffer',
+    'GuardedPart',
     'Headers',
     'IncompleteResponseError',
     'OutboundCall',
     'OversizedResponseError',
+    'PartOperations',
     'Placement',
     'RecordDecoder',
     'Relay',
--- a/src/burdockledge/relay/_part_guard.py
+++ b/src/burdockledge/relay/_part_guard.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import ResponseProgress
@@ -31,11 +33,43 @@
 _RELEASE_ID_BITS: Final = 31
 
 
-class PartGuard:
+@dataclass(frozen=True, slots=True)
+class GuardedPart:
+    """
+    A prompt part that is blocked or suspected, for operators.
+
+    ``service`` is empty if no service of the configuration has the hash.
+    """
+
+    service: str
+    part: str
+    state: str
+    crashes: int
+    last_crash_seconds: float
+
+
+class PartOperations(ABC):
+    """What operators can see and do about guarded prompt parts."""
+
+    @abstractmethod
+    def guarded_parts(self) -> list[GuardedPart]:
+        """Return the blocked and suspected parts."""
+
+    @abstractmethod
+    def release(self, service: str, part_id: int) -> bool:
+        """
+        Release a part on all hosts.
+
+        :return: whether there was evidence against it.
+        """
+
+
+class PartGuard(PartOperations):
     """
     The quarantine of this host, fed with the calls of all hosts.
 
-    ``on_event`` is called with each change, after it was logged.
+    ``on_event`` is called with each change, after it was logged;
+    ``services`` returns the names of the services in use.
     """
 
     def __init__(
@@ -49,6 +83,7 @@
         self.quarantine.on_event = self._handle_event
         exchange.quarantine = self.quarantine
         self.on_event: Callable[[QuarantineEvent], None] | None = None
+        self.services: Callable[[], Iterable[str]] = tuple
 
     def verdict(self, service: str, prompt: Prompt) -> Verdict:
         """Return whether a call may be sent to an engine now."""
@@ -66,6 +101,25 @@
             part_keys(service, prompt), self._clock.monotonic()
         )
 
+    def guarded_parts(self) -> list[GuardedPart]:
+        """Return the blocked and suspected parts."""
+        states = (
+            ('blocked', self.quarantine.blocked),
+            ('suspected', self.quarantine.suspected),
+        )
+        now = self._clock.monotonic()
+        return [
+            GuardedPart(
+                self._service_of(part),
+                str(PartName.from_key(part)),
+                state,
+                len(block.crash_times),
+                round(now - block.last_crash_at, 1),
+            )
+            for state, blocks in states
+            for part, block in blocks.items()
+        ]
+
     def release(self, service: str, part_id: int) -> bool:
         """
         Release a part on all hosts.
@@ -135,10 +189,19 @@
         else:
             self.quarantine.note_end(ended.call)
 
+    def _service_of(self, part: int) -> str:
+        part_id = PartName.from_key(part).part_id
+        for service in self.services():
+            if part_key(service, part_id) == part:
+                return service
+        return ''
+
     def _handle_event(self, event: QuarantineEvent) -> None:
         evidence = event.evidence
-        name = PartName.from_key(event.part)
-        fields = {'part': str(name), 'service_hash': name.service_hash}
+        fields = {
+            'part': str(PartName.from_key(event.part)),
+            'service': self._service_of(event.part),
+        }
         if evidence is None:
             _log.warning('Prompt part is released.', **fields)
         else:
@@ -156,4 +219,4 @@
             self.on_event(event)
 
 
-__all__ = ('PartGuard',)
+__all__ = ('GuardedPart', 'PartGuard', 'PartOperations')
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -102,6 +102,7 @@
         self._health = HealthTracker(host)
         self._policy = PlacementPolicy(self._loads, self._health, random)
         self.parts = PartGuard(exchange, clock, random)
+        self.parts.services = self._service_names
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
@@ -248,6 +249,10 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
+    def _service_names(self) -> tuple[str, ...]:
+        routes = self._routes
+        return () if routes is None else tuple(routes.document.services)
+
     def _retry_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -12,8 +12,9 @@
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
 from burdockledge.membership import MemberTable
-from burdockledge.platform import Front, HttpServerClient
-from burdockledge.relay import Placement, Relay
+from burdockledge.peers import PeerKeys
+from burdockledge.platform import Front, HttpServerClient, PartEndpoint
+from burdockledge.relay import GuardedPart, PartOperations, Placement, Relay
 from burdockledge.settings import RelayHostSettings
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import MemberStatus, MemberUpdate
@@ -25,6 +26,20 @@
 )
 from tests.relay.fakes import FakeRoutingState
 
+PEER_KEYS = PeerKeys(('a key of sixteen characters',), None)
+
+
+class FakePartOperations(PartOperations):
+    """Knows one blocked part."""
+
+    def guarded_parts(self) -> list[GuardedPart]:
+        """Return the blocked part."""
+        return [GuardedPart('model', 'bad', 'blocked', 2, 1.5)]
+
+    def release(self, service: str, part_id: int) -> bool:
+        """Release the blocked part only."""
+        return (service, part_id) == ('model', 0xBAD)
+
 
 class SingleServerRoutingState(FakeRoutingState):
     """Always places calls on the stand-in server, even if it was tried."""
@@ -96,7 +111,11 @@
         metrics = Metrics()
         relay = Relay(routing_state, client, SystemClock(), Random(1), metrics)
         front = Front(
-            settings, relay, Directory(member_table, Random(1)), metrics
+            settings,
+            relay,
+            Directory(member_table, Random(1)),
+            metrics,
+            PartEndpoint(FakePartOperations(), PEER_KEYS),
         )
         await front.start()
         try:
