Take an unframed stream without events for broken off

Cause: a stream with neither a length nor chunks ends with its connection, so one whose server crashed as the answer began looked whole and empty: callers got a 200 that was complete without an event, and the crash was no evidence.

Change: a response knows whether it tells its own end; a stream that does not and ends before its first event is incomplete.

Tests: unframed bodies and streams, whole, cut inside an event, reset, ended before the first event, each with a second call. Only the last case failed before; the others passed already.

--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -206,6 +206,10 @@
             response.status == _MISDIRECTED_REQUEST
             or names.NOT_RUN in response.headers
         )
+        self.is_delimited = (
+            'Content-Length' in response.headers
+            or 'Transfer-Encoding' in response.headers
+        )
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -370,9 +370,27 @@
             writes += 1
             await served.caller.write(events)
             stalls_at = loop.time() + stall_seconds
+        await self._finish_stream(served, placement, response, writes)
+
+    async def _finish_stream(
+        self,
+        served: ServedCall,
+        placement: Placement,
+        response: ServerResponse,
+        writes: int,
+    ) -> None:
+        """
+        End a stream whose body has ended.
+
+        :param writes: how often events of this response were written.
+        :raises IncompleteResponseError: if the body is not complete.
+        """
         if not served.event_buffer.is_at_event_boundary:
             raise IncompleteResponseError
         if not served.has_response_started:
+            if not response.is_delimited:
+                # The server may have crashed as its answer began.
+                raise IncompleteResponseError
             await self._start_stream(served, response)
         if served.sends == 1:
             self._state.note_stream_end(
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -69,12 +69,14 @@
     A response of a server whose head was read and whose body was not.
 
     ``proves_not_run``: whether the response proves that the server did not
-    run the call and never will.
+    run the call and never will. ``is_delimited``: whether the response itself
+    tells where its body ends, by a length or by chunks, and not its connection.
     """
 
     status: int
     headers: Headers
     proves_not_run: bool
+    is_delimited: bool = True
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/tests/platform_adapter/test_hostile_servers.py
+++ b/tests/platform_adapter/test_hostile_servers.py
@@ -13,7 +13,10 @@
     request_bytes,
     run_with_front,
 )
-from tests.platform_adapter.standin_server import response_bytes
+from tests.platform_adapter.standin_server import (
+    reset_connection,
+    response_bytes,
+)
 
 # What a host may take from one server before it closes the connection; far
 # below the memory of the smallest hosts.
@@ -231,3 +234,64 @@
             assert response.endswith(b'whole')
 
     run_with_front(handler, test)
+
+
+EVENT_ONE = b'id: 1\ndata: x\n\n'
+EVENT_TWO = b'id: 2\ndata: y\n\n'
+# A part of a body, how the connection ends, and what the caller gets.
+UNFRAMED: dict[str, tuple[str, tuple[bytes, ...], bool, bytes, bool]] = {
+    'whole body': ('/unsafe/x', (b'who', b'le'), False, b'200', True),
+    'body that is reset': ('/unsafe/x', (b'who',), True, b'502', True),
+    'empty body that is reset': ('/unsafe/x', (), True, b'502', True),
+    'whole stream': ('/stream/x', (EVENT_ONE, EVENT_TWO), False, b'200', True),
+    'stream that ends inside an event': (
+        '/stream/x', (EVENT_ONE, EVENT_TWO[:7]), False, b'200', False,
+    ),
+    'stream that ends inside its first event': (
+        '/stream/x', (EVENT_ONE[:7],), False, b'502', True,
+    ),
+    'stream that is reset between events': (
+        '/stream/x', (EVENT_ONE,), True, b'200', False,
+    ),
+    'stream that ends before its first event': (
+        '/stream/x', (), False, b'502', True,
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize('name', UNFRAMED)
+def test_an_answer_without_length_or_chunks_ends_with_its_connection(
+    name: str,
+) -> None:
+    """Guards against a broken answer that looks whole, and the reverse."""
+    path, pieces, is_reset, status, is_complete = UNFRAMED[name]
+
+    async def handler(
+        head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(unframed_head(head))
+        await writer.drain()
+        for piece in pieces:
+            await asyncio.sleep(0.02)
+            writer.write(piece)
+            await writer.drain()
+        await asyncio.sleep(0.02)
+        if is_reset:
+            reset_connection(writer)
+        else:
+            writer.close()
+
+    async def test(harness: FrontHarness) -> None:
+        response = await harness.send(request_bytes(path), 0.5)
+        assert response[9:12] == status
+        if path == '/stream/x' and status == b'200':
+            assert response.endswith(b'0\r\n\r\n') is is_complete
+        if status == b'200':
+            for piece in pieces:
+                assert piece in response or not is_complete
+        # The next call gets a connection and an answer of its own.
+        second = await harness.send(request_bytes(path), 0.5)
+        assert second[9:12] == status
+        assert harness.server.connection_count == 2
+
+    run_with_front(handler, test)
