Log the limits that servers name

Cause: servers name a limit of calls a second in their responses; hosts passed the header on, and no log line told what a host knew of it.

Change: the adapter decodes the header, with several, unreadable and negative values told from a missing one; a change is logged. No decision changes.

--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
@@ -101,6 +102,20 @@
     return tuple(headers)
 
 
+def call_rate_limit(raw_limits: Iterable[str]) -> float | None:
+    """
+    Return the calls a second that a response's headers allow.
+
+    :return: the lowest one of several, None without any, and NaN if none of
+        them is a number of calls.
+    """
+    limits = tuple(raw_limits)
+    if not limits:
+        return None
+    readable = [limit for limit in map(_parse_limit, limits) if limit >= 0]
+    return min(readable, default=math.nan)
+
+
 def response_headers(raw_headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the response headers to pass on to the caller."""
     return tuple(
@@ -194,6 +209,15 @@
     return max(0.001, timeout_seconds)
 
 
+def _parse_limit(text: str) -> float:
+    """Return a number of calls, NaN if the text is none."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return math.nan
+    return limit if math.isfinite(limit) else math.nan
+
+
 def _parse_prompt(parts: str | None, counts: str | None) -> Prompt:
     try:
         return Prompt(
@@ -223,6 +247,7 @@
 
 __all__ = (
     'BadCallError',
+    'call_rate_limit',
     'decode_call',
     'outbound_headers',
     'response_headers',
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -26,6 +26,8 @@
 EXPECTED_SERVER: Final = 'Burdockledge-Expect-Instance'
 # Set on a response if the server has not run the call.
 NOT_RUN: Final = 'Burdockledge-Not-Executed'
+# Requests a second that the server takes from all hosts together, a decimal.
+CALL_RATE_LIMIT: Final = 'Server-Limit'
 # Priority at the server: 0 is the highest; 5 if the header is absent.
 URGENCY: Final = 'Burdockledge-Request-Urgency'
 # Address of the server from which cached prompt parts are fetched first.
@@ -75,6 +77,7 @@
     'AUTHORIZATION',
     'AUTHORIZATION_SCHEME',
     'CACHE_SOURCE',
+    'CALL_RATE_LIMIT',
     'CONFIGURATION_KEY',
     'CONFIGURATION_TOPIC',
     'DIRECTORY_PATH',
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -13,7 +13,11 @@
 from yarl import URL
 
 from burdockledge.platform import _names as names
-from burdockledge.platform._calls import outbound_headers, response_headers
+from burdockledge.platform._calls import (
+    call_rate_limit,
+    outbound_headers,
+    response_headers,
+)
 from burdockledge.relay import (
     Headers,
     IncompleteResponseError,
@@ -206,6 +210,9 @@
             response.status == _MISDIRECTED_REQUEST
             or names.NOT_RUN in response.headers
         )
+        self.call_rate_limit = call_rate_limit(
+            response.headers.getall(names.CALL_RATE_LIMIT, ())
+        )
         self.is_delimited = (
             'Content-Length' in response.headers
             or 'Transfer-Encoding' in response.headers
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -282,7 +282,7 @@
         response: ServerResponse,
     ) -> tuple[int, str] | str:
         outcome.progress = ResponseProgress.head
-        self._state.note_response_start(placement)
+        self._state.note_response_start(placement, response.call_rate_limit)
         if response.proves_not_run:
             outcome.result = CallResult.refused
             return f'the server refused with {response.status}'
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -71,12 +71,15 @@
     ``proves_not_run``: whether the response proves that the server did not
     run the call and never will. ``is_delimited``: whether the response itself
     tells where its body ends, by a length or by chunks, and not its connection.
+    ``call_rate_limit``: the calls a second that the server takes from all hosts
+    together, None if it names no limit, NaN if it can not be read.
     """
 
     status: int
     headers: Headers
     proves_not_run: bool
     is_delimited: bool = True
+    call_rate_limit: float | None = None
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -103,6 +103,8 @@
         self._policy = PlacementPolicy(self._loads, self._health, random)
         self.parts = PartGuard(exchange, clock, random)
         self.parts.services = self._service_names
+        # Calls a second that instances named in their last responses.
+        self._named_limits: dict[str, float] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
@@ -181,7 +183,9 @@
             now,
         )
 
-    def note_response_start(self, placement: Placement) -> None:
+    def note_response_start(
+        self, placement: Placement, call_rate_limit: float | None
+    ) -> None:
         """Record a response's head as its first event, and tell other hosts."""
         now = self._clock.monotonic()
         instance_id = placement.instance.instance_id
@@ -190,6 +194,7 @@
             instance_id, placement.call_id, now, seconds
         )
         self.parts.note_head(placement.call_id)
+        self._log_limit(placement.instance, call_rate_limit)
         self._exchange.call_events.announce_first_event(
             CallHeard(
                 placement.call_id,
@@ -249,6 +254,23 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
+    def _log_limit(
+        self, instance: ServerInstance, call_rate_limit: float | None
+    ) -> None:
+        known = self._named_limits.get(instance.instance_id)
+        if call_rate_limit == known:
+            return
+        if call_rate_limit is None:
+            self._named_limits.pop(instance.instance_id)
+        else:
+            self._named_limits[instance.instance_id] = call_rate_limit
+        _log.warning(
+            'Server names another limit.',
+            server=instance.server_id,
+            calls_per_second=call_rate_limit,
+            before=known,
+        )
+
     def _service_names(self) -> tuple[str, ...]:
         routes = self._routes
         return () if routes is None else tuple(routes.document.services)
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -96,8 +96,16 @@
         """
 
     @abstractmethod
-    def note_response_start(self, placement: Placement) -> None:
-        """Record that the head of a response has arrived."""
+    def note_response_start(
+        self, placement: Placement, call_rate_limit: float | None
+    ) -> None:
+        """
+        Record that the head of a response has arrived.
+
+        :param call_rate_limit: the calls a second that the server takes from
+            all hosts together, None if it names no limit, NaN if it can not
+            be read.
+        """
 
     @abstractmethod
     def note_pause(self, placement: Placement, seconds: float) -> None:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -162,6 +162,7 @@
     is_suspected: bool = False
     release_seconds: float | None = 0.0
     outcomes: list[SendOutcome] = field(default_factory=list)
+    limits: list[float | None] = field(default_factory=list)
 
     async def wait_ready(self) -> None:
         """Wait until the routes are known."""
@@ -202,8 +203,11 @@
                 return Placement(number, instance, 0, 0, 0)
         return None
 
-    def note_response_start(self, placement: Placement) -> None:
-        """Do nothing."""
+    def note_response_start(
+        self, placement: Placement, call_rate_limit: float | None
+    ) -> None:
+        """Record the limit."""
+        self.limits.append(call_rate_limit)
 
     def note_pause(self, placement: Placement, seconds: float) -> None:
         """Record the pause."""
