Keep to the limits that servers name, all hosts together

Cause: knowledge that one host gets and no host uses. Servers name a limit of calls a second in their answers; hosts passed the header on and placed calls as before, so a server in need got up to 24 calls in 4 s where 11 are allowed.

Change: every host keeps the same bucket for a server that names a limit: it fills at the limit and loses a token with each call that any host tells of, at once and directly to all hosts. A call sent meanwhile overdraws it and is paid back; a host that learns of a limit, or starts, begins with none. Hosts that are cut off use their share. A limit is told with the first event of a call and ends with an answer, without one, to a call sent later; a server that names less than one call in 10 s is asked that often. Servers without room are left out of placement; room is left to urgent calls, and no cached parts are fetched from them. If no server has room, a call waits half its latency target, then gets 503 with a Retry-After that spreads the callers refused lately over the time in which the servers can take them.

The test of a limit's end had expected an even split among engines with unequal caches; its prompts are now in no cache, the bound is the same.

--- a/src/burdockledge/cli/_explain.py
+++ b/src/burdockledge/cli/_explain.py
@@ -52,6 +52,9 @@
     'a part of its prompt may crash servers': (
         'another call with a part of its prompt was to begin first'
     ),
+    'every server is at the limit': (
+        'the servers named limits that left no room for it; nothing ran'
+    ),
     'the time limit cut': (
         'the response had started and was not complete in time'
     ),
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -52,6 +52,7 @@
 
     from burdockledge.quarantine import QuarantineEvent
     from burdockledge.relay import RouteIndex
+    from burdockledge.scheduling import LimitChange
     from burdockledge.settings import RelayHostSettings
 
 _log = make_logger('host')
@@ -257,6 +258,10 @@
         parts = self.routing_state.parts
         parts.quarantine.is_trial_host = self.evidence_keeper.is_writer
         parts.on_event = self._count_part_event
+        limits = self.routing_state.limits
+        limits.host_count = self._host_count
+        limits.limits.share = self._reachable_share
+        limits.on_change = self._update_limit_gauges
         self.routing_state.host_count = self._host_count
         self.routing_state.on_routes = self._on_routes
 
@@ -324,6 +329,18 @@
     def _host_count(self) -> int:
         return sum(1 for _ in self.membership.table.updates())
 
+    def _reachable_share(self) -> float:
+        """Return the share of the hosts that are not considered dead."""
+        reachable = len(self.membership.table.alive_or_suspect())
+        return min(1.0, max(1, reachable) / max(1, self._host_count()))
+
+    def _update_limit_gauges(self, change: LimitChange) -> None:
+        labels = {'server': change.instance_id}
+        if change.after is None:
+            self.metrics.drop_gauge('server_limit', **labels)
+            return
+        self.metrics.set_gauge('server_limit', change.after, **labels)
+
     def _on_routes(self, routes: RouteIndex) -> None:
         self.front.apply_limits(routes.document.limits)
         own_member = self.membership.own_member
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -59,14 +60,11 @@
 # A response that is not a stream is held in memory until it is complete. The
 # bound is that of the largest request bodies by default.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-# A call with a suspected part waits this long for another one to begin, as a
-# multiple of its route's latency target.
+# A call waits this long for another one with a suspected part to begin, or for
+# room at a server with a limit, as a multiple of its route's latency target.
 _HOLD_LATENCY_TARGETS: Final = 0.5
 _HOLD_POLL_SECONDS: Final = 0.02
-_REASON_BY_VERDICT: Final = {
-    Verdict.blocked: 'a part of its prompt crashes servers',
-    Verdict.deferred: 'a part of its prompt may crash servers',
-}
+_AT_LIMIT: Final = 'every server is at the limit that it names'
 _MS_PER_SECOND: Final = 1000
 
 
@@ -101,59 +99,88 @@
 
     async def forward(self, served: ServedCall) -> tuple[int, str]:
         """Send a call until its caller has a response."""
-        why = 'no server is known'
+        refusal = _Refusal('no server is known')
         while self._may_send(served):
-            verdict = await self._wait_for_verdict(served)
-            if verdict is not Verdict.allowed:
-                why = _REASON_BY_VERDICT[verdict]
-                break
-            placement = self._place(served)
+            placement = await self._wait_for_placement(served)
             if placement is None:
                 break
+            if isinstance(placement, _Refusal):
+                refusal = placement
+                break
             result = await self._send_once(served, placement)
             if not isinstance(result, str):
                 return result
-            why = result
-        return await self._give_up(served, why)
+            refusal = _Refusal(result)
+        return await self._give_up(served, refusal)
+
+    async def _wait_for_placement(
+        self, served: ServedCall
+    ) -> Placement | _Refusal | None:
+        """
+        Place a call, once its prompt and the limits of servers allow it.
 
-    def _place(self, served: ServedCall) -> Placement | None:
-        return self._state.place(
+        :return: None if no server is left to try.
+        """
+        hold_until = (
+            self._clock.monotonic()
+            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
+        )
+        while True:
+            placement = self._try_to_place(served)
+            if not isinstance(placement, _Wait):
+                return placement
+            if self._clock.monotonic() + placement.seconds > hold_until:
+                return self._refuse_to_wait(served, placement)
+            await asyncio.sleep(max(placement.seconds, _HOLD_POLL_SECONDS))
+
+    def _try_to_place(
+        self, served: ServedCall
+    ) -> Placement | _Refusal | _Wait | None:
+        prompt = served.call.prompt
+        verdict = self._state.verdict(served.service, prompt)
+        if verdict is Verdict.blocked:
+            return _Refusal(
+                'a part of its prompt crashes servers',
+                self._state.blocked_seconds(served.service, prompt),
+            )
+        if verdict is Verdict.deferred:
+            return _Wait('a part of its prompt may crash servers')
+        tried_instance_ids = frozenset(served.tried_instance_ids)
+        placement = self._state.place(
             served.service,
             served.route,
             served.urgency,
-            served.call.prompt,
-            frozenset(served.tried_instance_ids),
+            prompt,
+            tried_instance_ids,
+        )
+        if placement is not None:
+            return placement
+        room = self._state.seconds_until_room(
+            served.service, tried_instance_ids
         )
+        return None if room is None else _Wait(_AT_LIMIT, room)
 
-    async def _give_up(self, served: ServedCall, why: str) -> tuple[int, str]:
+    def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> _Refusal:
+        if wait.why != _AT_LIMIT:
+            return _Refusal(wait.why)
+        return _Refusal(
+            wait.why, self._state.limit_retry_after_seconds(served.service)
+        )
+
+    async def _give_up(
+        self, served: ServedCall, refusal: _Refusal
+    ) -> tuple[int, str]:
         """Tell the caller that its call got no answer."""
+        why = refusal.why
         if served.has_response_started:
             served.caller.abort()
             return 0, why
         if served.may_have_run:
             return await self._responder.send_error(served, BAD_GATEWAY, why)
         return await self._responder.send_error(
-            served,
-            UNAVAILABLE,
-            why,
-            self._state.blocked_seconds(served.service, served.call.prompt),
+            served, UNAVAILABLE, why, refusal.retry_after_seconds
         )
 
-    async def _wait_for_verdict(self, served: ServedCall) -> Verdict:
-        """Return whether a call may be sent; wait while that is undecided."""
-        hold_until = (
-            self._clock.monotonic()
-            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
-        )
-        while True:
-            verdict = self._state.verdict(served.service, served.call.prompt)
-            if (
-                verdict is not Verdict.deferred
-                or self._clock.monotonic() >= hold_until
-            ):
-                return verdict
-            await asyncio.sleep(_HOLD_POLL_SECONDS)
-
     def _may_send(self, served: ServedCall) -> bool:
         if not served.sends:
             return True
@@ -443,6 +470,7 @@
                 f'{part.part_id:x}' for part in served.call.prompt.shared_parts
             ],
             running=placement.running_calls,
+            at_limit=placement.servers_at_limit,
             resumes_after=served.event_buffer.last_id,
             source=None
             if placement.cache_source is None
@@ -451,6 +479,26 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """
+    Why a call is not sent, and when its caller may come back.
+
+    ``retry_after_seconds`` is 0 for the usual time, None if never.
+    """
+
+    why: str
+    retry_after_seconds: float | None = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    """Why a call has to wait, and for how long at least."""
+
+    why: str
+    seconds: float = 0.0
+
+
 async def _next_chunk(
     chunks: AsyncIterator[bytes], stalls_at: float
 ) -> bytes | None:
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import Prompt, PromptPart
+from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
 from burdockledge.relay._part_guard import PartGuard
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex
@@ -102,9 +103,8 @@
         self._health = HealthTracker(host)
         self._policy = PlacementPolicy(self._loads, self._health, random)
         self.parts = PartGuard(exchange, clock, random)
+        self.limits = LimitGuard(exchange, clock, random)
         self.parts.services = self._service_names
-        # Calls a second that instances named in their last responses.
-        self._named_limits: dict[str, float] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
@@ -154,8 +154,13 @@
             route.pause_target_seconds,
         )
         instances = self._registry.ready_instances(service, now)
+        exhausted_ids = self.limits.limits.exhausted_ids(now)
         choice = self._policy.choose(
-            instances, request, tried_instance_ids, now
+            instances,
+            request,
+            tried_instance_ids | exhausted_ids,
+            now,
+            self.limits.limits.limited_ids,
         )
         if choice is None:
             return None
@@ -172,6 +177,7 @@
         self._loads.start(start, now)
         started = _encode_call_start(start)
         self.parts.note_start(call_id, started.server, service, prompt)
+        self.limits.note_call(choice.instance.instance_id)
         self._exchange.call_events.announce_start(started)
         return Placement(
             call_id,
@@ -181,6 +187,22 @@
             choice.running_calls,
             choice.cache_source,
             now,
+            len(exhausted_ids),
+        )
+
+    def seconds_until_room(
+        self, service: str, tried_instance_ids: frozenset[str]
+    ) -> float | None:
+        """Return when a server has room within its limit, None if never."""
+        now = self._clock.monotonic()
+        return self.limits.limits.seconds_until_room(
+            self._untried_ids(service, tried_instance_ids), now
+        )
+
+    def limit_retry_after_seconds(self, service: str) -> float:
+        """Return when a call that limits left no room for may come back."""
+        return self.limits.retry_after_seconds(
+            service, self._untried_ids(service, frozenset())
         )
 
     def note_response_start(
@@ -194,12 +216,13 @@
             instance_id, placement.call_id, now, seconds
         )
         self.parts.note_head(placement.call_id)
-        self._log_limit(placement.instance, call_rate_limit)
+        self.limits.note_answer(instance_id, call_rate_limit, seconds)
         self._exchange.call_events.announce_first_event(
             CallHeard(
                 placement.call_id,
                 hash_server_key(instance_id),
                 round(seconds * _MS_PER_SECOND),
+                limit_on_the_wire(call_rate_limit),
             )
         )
 
@@ -254,21 +277,14 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
-    def _log_limit(
-        self, instance: ServerInstance, call_rate_limit: float | None
-    ) -> None:
-        known = self._named_limits.get(instance.instance_id)
-        if call_rate_limit == known:
-            return
-        if call_rate_limit is None:
-            self._named_limits.pop(instance.instance_id)
-        else:
-            self._named_limits[instance.instance_id] = call_rate_limit
-        _log.warning(
-            'Server names another limit.',
-            server=instance.server_id,
-            calls_per_second=call_rate_limit,
-            before=known,
+    def _untried_ids(
+        self, service: str, tried_instance_ids: frozenset[str]
+    ) -> frozenset[str]:
+        now = self._clock.monotonic()
+        instances = self._registry.ready_instances(service, now)
+        return (
+            frozenset(instance.instance_id for instance in instances)
+            - tried_instance_ids
         )
 
     def _service_names(self) -> tuple[str, ...]:
@@ -309,6 +325,9 @@
         if entries:
             instances = self._registry.all_instances(now)
             self._loads.retain(instances)
+            self.limits.limits.retain(
+                {instance.instance_id for instance in instances}
+            )
             self._instance_ids_by_hash = {
                 hash_server_key(instance.instance_id): instance.instance_id
                 for instance in instances
@@ -375,28 +394,39 @@
     def _apply_call_events(self, note: Note) -> None:
         now = self._clock.monotonic()
         for started in note.started:
-            instance_id = self._instance_ids_by_hash.get(started.server)
-            if instance_id is None:
-                continue
-            self._loads.start(_decode_call_start(started, instance_id), now)
-            service = self._registry.service_of(instance_id)
-            if service is not None:
-                self.parts.apply_start(started, service)
+            self._apply_start(started, now)
         for heard in note.heard:
-            self.parts.apply_head(heard)
-            self._loads.note_first_event(
-                self._instance_ids_by_hash.get(heard.server, ''),
-                heard.call,
-                now,
-                heard.first_event_ms / _MS_PER_SECOND,
-            )
-        for end in note.ended:
-            self.parts.apply_end(end)
-            instance_id = self._instance_ids_by_hash.get(end.server)
-            if instance_id is None or end.result not in _CALL_RESULTS:
-                continue
-            self._loads.end(instance_id, end.call)
-            self._record_result(instance_id, end.result, note.host)
+            self._apply_head(heard, now)
+        for server in note.limited_calls:
+            self.limits.apply_call(self._instance_ids_by_hash.get(server, ''))
+        for ended in note.ended:
+            self._apply_end(ended, note.host)
+
+    def _apply_start(self, started: CallStarted, now: float) -> None:
+        instance_id = self._instance_ids_by_hash.get(started.server)
+        if instance_id is None:
+            return
+        self._loads.start(_decode_call_start(started, instance_id), now)
+        service = self._registry.service_of(instance_id)
+        if service is not None:
+            self.parts.apply_start(started, service)
+
+    def _apply_head(self, heard: CallHeard, now: float) -> None:
+        self.parts.apply_head(heard)
+        instance_id = self._instance_ids_by_hash.get(heard.server)
+        if instance_id is None:
+            return
+        seconds = heard.first_event_ms / _MS_PER_SECOND
+        self._loads.note_first_event(instance_id, heard.call, now, seconds)
+        self.limits.apply_answer(instance_id, heard.limit, seconds)
+
+    def _apply_end(self, ended: CallEnded, host: str) -> None:
+        self.parts.apply_end(ended)
+        instance_id = self._instance_ids_by_hash.get(ended.server)
+        if instance_id is None or ended.result not in _CALL_RESULTS:
+            return
+        self._loads.end(instance_id, ended.call)
+        self._record_result(instance_id, ended.result, host)
 
 
 def _encode_call_start(start: CallStart) -> CallStarted:
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -25,7 +25,8 @@
     ``prefill_tokens`` is what the server has to prefill, ``running_calls``
     how many calls it had before. The server fetches cached parts of the
     prompt from ``cache_source``, if any. ``placed_at`` is in seconds of the
-    monotonic clock.
+    monotonic clock. ``servers_at_limit`` is how many servers were left out,
+    as they get as many calls as the limits that they name allow.
     """
 
     call_id: int
@@ -35,6 +36,7 @@
     running_calls: int
     cache_source: ServerInstance | None = None
     placed_at: float = 0.0
+    servers_at_limit: int = 0
 
 
 @dataclass(slots=True)
@@ -95,6 +97,21 @@
         :return: None if no server is left to try.
         """
 
+    @abstractmethod
+    def seconds_until_room(
+        self, service: str, tried_instance_ids: frozenset[str]
+    ) -> float | None:
+        """
+        Return when a server has room within the limit that it names.
+
+        :param tried_instance_ids: instances that must not be chosen.
+        :return: seconds from now, None if no limit is what is in the way.
+        """
+
+    @abstractmethod
+    def limit_retry_after_seconds(self, service: str) -> float:
+        """Return when a call that limits left no room for may come back."""
+
     @abstractmethod
     def note_response_start(
         self, placement: Placement, call_rate_limit: float | None
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -134,6 +134,12 @@
             Note(self._own_host, suspects=[suspect]),
         )
 
+    def announce_limited_call(self, server: int) -> None:
+        """Tell every host at once that a server with a limit gets a call."""
+        self._send(
+            self.peers.addresses, Note(self._own_host, limited_calls=[server])
+        )
+
     async def _resend_later(self, update: StreamUpdate) -> None:
         await asyncio.sleep(_RESEND_DELAY_SECONDS)
         self._gossip(update)
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -15,6 +15,7 @@
     PlacementRequest,
 )
 from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
+from burdockledge.scheduling._rate_limits import LimitChange, ServerRateLimits
 from burdockledge.scheduling._timing import (
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
     ServiceTiming,
@@ -26,11 +27,13 @@
     'CallResult',
     'CallStart',
     'HealthTracker',
+    'LimitChange',
     'LoadTracker',
     'PlacementChoice',
     'PlacementPolicy',
     'PlacementRequest',
     'PrefixCacheEstimate',
     'ServerLoad',
+    'ServerRateLimits',
     'ServiceTiming',
 )
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -50,6 +50,9 @@
 # in proportion to the calls.
 _FULL_SLOTS_COST_SECONDS: Final = 0.05
 _TIE_BREAK_SECONDS: Final = 0.0002
+# Cost of a call at a server that takes only so many a second, for each step
+# by which the call is less urgent than the most urgent ones.
+_LIMITED_COST_SECONDS: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +95,7 @@
     instance: ServerInstance
     load: ServerLoad
     running_calls: int
+    is_limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +136,7 @@
         request: PlacementRequest,
         tried_instance_ids: Collection[str],
         now: float,
+        limited_instance_ids: Collection[str] = (),
     ) -> PlacementChoice | None:
         """
         Return the server with the lowest cost, None if none is left to try.
@@ -139,6 +144,9 @@
         Paused servers are used only if no other is left.
 
         :param tried_instance_ids: instances that must not be chosen.
+        :param limited_instance_ids: instances that take only so many calls a
+            second. They are left to the calls that gain most there, and no
+            parts are fetched from their caches.
         """
         untried = [
             instance
@@ -155,7 +163,12 @@
             for instance in healthy or untried
         )
         candidates = [
-            _Candidate(instance, load, load.running_calls(now))
+            _Candidate(
+                instance,
+                load,
+                load.running_calls(now),
+                instance.instance_id in limited_instance_ids,
+            )
             for instance, load in loads
         ]
         holder = _best_cache_holder(candidates, request) if healthy else None
@@ -195,6 +208,8 @@
         seconds += _FAILURE_COST_SECONDS * self._health.failure_rate(
             instance.instance_id, now
         )
+        if candidate.is_limited:
+            seconds += _LIMITED_COST_SECONDS * request.urgency
         running_calls = candidate.running_calls
         if not request.prompt.parts:
             seconds += (
@@ -364,6 +379,7 @@
             candidate.load.cache.prefilled_tokens(request.prompt),
         )
         for candidate in candidates
+        if not candidate.is_limited
     ]
     best = max(holders, key=lambda holder: holder.tokens, default=None)
     return best if best is not None and best.tokens else None
--- a/src/burdockledge/telemetry/_metrics.py
+++ b/src/burdockledge/telemetry/_metrics.py
@@ -54,6 +54,10 @@
         """Set a gauge to a function that is called at each scrape."""
         self._gauges[_make_series(name, labels)] = read_gauge
 
+    def drop_gauge(self, name: str, **labels: str) -> None:
+        """Export a gauge no longer."""
+        self._gauges.pop(_make_series(name, labels), None)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration in seconds."""
         series = _make_series(name, labels)
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -96,11 +96,14 @@
     The first response event of a call arrived: its prompt was processed.
 
     ``first_event_ms`` is the time since the call was sent, 0 if unknown.
+    ``limit`` is how many calls a second the server takes from all hosts,
+    negative if it names no limit.
     """
 
     call: int
     server: int
     first_event_ms: int = 0
+    limit: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +168,9 @@
     other hosts, forwarded within a group. ``fragment`` is a part of a note
     that does not fit into a datagram. ``suspects`` and ``clearances`` are
     evidence on crashes; ``evidence_digest`` asks for that of the receiver
-    unless it is the same, a negative one asks for none.
+    unless it is the same, a negative one asks for none. ``limited_calls``
+    names the server of each call to one that names a limit; it is sent to
+    every host directly.
     """
 
     host: str
@@ -179,6 +184,7 @@
     suspects: list[CrashSuspect] = field(default_factory=list)
     clearances: list[Clearance] = field(default_factory=list)
     evidence_digest: int | None = None
+    limited_calls: list[int] = field(default_factory=list)
 
     @property
     def has_call_events(self) -> bool:
@@ -212,6 +218,7 @@
             suspects=build_struct_list(ttypes.CrashSuspect, note.suspects),
             clearances=build_struct_list(ttypes.Clearance, note.clearances),
             evidence_digest=note.evidence_digest,
+            limited_calls=note.limited_calls or None,
         ),
     )
 
@@ -239,6 +246,7 @@
         suspects=build_message_list(CrashSuspect, raw.suspects),
         clearances=build_message_list(Clearance, raw.clearances),
         evidence_digest=raw.evidence_digest,
+        limited_calls=list(raw.limited_calls or ()),
     )
 
 
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -160,6 +160,9 @@
   2: i64 server,
   // The time since the call was sent; 0 if it is unknown.
   3: i32 first_event_ms = 0,
+  // Calls a second that the server takes from all hosts; negative if it names
+  // no limit.
+  4: double limit = -1,
 }
 
 // A fragment of a compressed note that does not fit into a datagram.
@@ -207,4 +210,6 @@
   10: optional list<Clearance> clearances,
   // Asks for the evidence of crashes unless the receiver's is the same.
   11: optional i64 evidence_digest,
+  // Servers that name a limit, one entry for each call sent to them.
+  12: optional list<i64> limited_calls,
 }
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -90,6 +90,7 @@
     proves_not_run: bool = False
     headers: Headers = (('Sealed', 'yes'),)
     is_closed: bool = False
+    call_rate_limit: float | None = None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks, with the pauses between them."""
@@ -163,6 +164,7 @@
     release_seconds: float | None = 0.0
     outcomes: list[SendOutcome] = field(default_factory=list)
     limits: list[float | None] = field(default_factory=list)
+    room_seconds: float | None = None
 
     async def wait_ready(self) -> None:
         """Wait until the routes are known."""
@@ -203,6 +205,16 @@
                 return Placement(number, instance, 0, 0, 0)
         return None
 
+    def seconds_until_room(
+        self, service: str, tried_instance_ids: frozenset[str]
+    ) -> float | None:
+        """Return what the test gives."""
+        return self.room_seconds
+
+    def limit_retry_after_seconds(self, service: str) -> float:
+        """Return a fixed time."""
+        return 2.5
+
     def note_response_start(
         self, placement: Placement, call_rate_limit: float | None
     ) -> None:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -340,3 +340,38 @@
     """Guards against taking a slow or refusing server for a crashed one."""
     state = serve(call('/stream/x'), step, OK).routing_state
     assert state.outcomes[0].has_broken is has_broken
+
+
+@pytest.mark.parametrize(
+    ('room_seconds', 'server_count', 'status', 'retry_after', 'seconds'),
+    [
+        (None, 0, 503, None, 0.0),
+        (0.05, 0, 503, '2.50', 0.25),
+        (30.0, 0, 503, '2.50', 0.0),
+    ],
+)
+def test_a_call_without_room_is_refused_early(
+    room_seconds: float | None,
+    server_count: int,
+    status: int,
+    retry_after: str | None,
+    seconds: float,
+) -> None:
+    """Guards against callers held for a server that can not take them."""
+    state = FakeRoutingState(
+        server_count=server_count, room_seconds=room_seconds
+    )
+    run = serve(call('/safe/x'), routing_state=state)
+    assert run.caller.status == status
+    headers = dict(run.caller.headers)
+    if retry_after is not None:
+        assert headers['Retry-After'] == retry_after
+    assert run.seconds <= seconds
+
+
+def test_the_limit_of_each_response_is_recorded() -> None:
+    """Guards against limits on refusals and errors that nobody reads."""
+    refused = replace(REFUSED, call_rate_limit=1.5)
+    failed = replace(FAILED, call_rate_limit=0.5)
+    run = serve(call('/safe/x'), refused, failed, OK)
+    assert run.routing_state.limits == [1.5, 0.5, None]
--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -92,11 +92,16 @@
 }
 
 
-async def send(fleet: Fleet, rate: float, seconds: float) -> None:
+async def send(
+    fleet: Fleet,
+    rate: float,
+    seconds: float,
+    documents: range = DOCUMENTS,
+) -> None:
     """Send calls with shared documents at a mean rate."""
     until = fleet.loop.time() + seconds
     while fleet.loop.time() < until:
-        fleet.call(1, fleet.random.choice(DOCUMENTS), route=ONCE_ROUTE)
+        fleet.call(1, fleet.random.choice(documents), route=ONCE_ROUTE)
         await asyncio.sleep(fleet.random.expovariate(rate))
 
 
@@ -184,7 +189,10 @@
         async with fleet.running():
             engine = next(iter(fleet.engines.values()))
             engine.limit = 0.5
-            calls = asyncio.ensure_future(send(fleet, 12.0, 24.0))
+            # No engine has most of these in its cache.
+            calls = asyncio.ensure_future(
+                send(fleet, 12.0, 24.0, range(1000, 100_000))
+            )
             await asyncio.sleep(10)
             engine.limit = None
             await calls
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -309,3 +309,45 @@
             start = CallStart(index, instance.instance_id, 0, 0, Prompt())
             fleet.loads.start(start, fleet.now)
     assert fleet.place(PlacementRequest('book', 0, Prompt(), 'a')) == chosen
+
+
+@pytest.mark.parametrize(
+    ('urgency', 'goes_to_limited'), [(0, True), (9, False)]
+)
+def test_room_at_a_limited_server_is_left_to_urgent_calls(
+    urgency: int, goes_to_limited: bool
+) -> None:
+    """Load: a limited server is slightly better for every call."""
+    loads = LoadTracker()
+    policy = PlacementPolicy(loads, HealthTracker('own'), Random(1))
+    limited = server_instance(1)
+    instances = [limited, server_instance(2)]
+    warm = CallStart(1, limited.instance_id, 0, 400, prompt(1, 2, 400), 10)
+    loads.start(warm, 0)
+    loads.note_first_event(limited.instance_id, 1, 0.1)
+    loads.end(limited.instance_id, 1)
+    request = PlacementRequest(SERVICE, urgency, prompt(1, 3, 400), 'a')
+    choice = policy.choose(instances, request, (), 10, (limited.instance_id,))
+    assert choice is not None
+    assert (choice.instance == limited) is goes_to_limited
+
+
+@pytest.mark.parametrize('is_limited', [True, False])
+def test_no_parts_are_fetched_from_a_limited_server(is_limited: bool) -> None:
+    """Load: the server with the cached parts has no room for the call."""
+    loads = LoadTracker()
+    policy = PlacementPolicy(loads, HealthTracker('own'), Random(1))
+    holder, other = server_instance(1), server_instance(2)
+    loads.start(CallStart(1, holder.instance_id, 0, 13_000, prompt(1, 2)), 0)
+    loads.note_first_event(holder.instance_id, 1, 0.1)
+    for call_id in range(100, 160):
+        loads.start(
+            CallStart(call_id, holder.instance_id, 0, 9000, prompt(5, call_id)),
+            1,
+        )
+    limited = (holder.instance_id,) if is_limited else ()
+    choice = policy.choose(
+        [holder, other], long_prompt_request(1, 3), (), 1, limited
+    )
+    assert choice is not None and choice.instance == other
+    assert (choice.cache_source is None) is is_limited
