Split placing and streams from the forwarder

Change: placing a call, relaying a stream, the codec of call starts and the decoder's interface are modules of their own. Behaviour stays as it is.

--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -19,12 +19,12 @@
     ServerResponse,
     StalledResponseError,
 )
+from burdockledge.relay._record_decoder import RecordDecoder
 from burdockledge.relay._relay import Relay
 from burdockledge.relay._replicated_state import (
     CONFIGURATION_STREAM,
     SERVERS_STREAM,
     STREAMS,
-    RecordDecoder,
     ReplicatedRoutingState,
 )
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from result import Err
 
 from burdockledge.calls import ResponseProgress, RouteKind
-from burdockledge.quarantine import Verdict
+from burdockledge.relay._placer import Placer, Refusal
 from burdockledge.relay._ports import (
     IncompleteResponseError,
     OutboundCall,
@@ -19,12 +18,11 @@
 )
 from burdockledge.relay._responder import BAD_GATEWAY, UNAVAILABLE
 from burdockledge.relay._routing_state import SendOutcome
+from burdockledge.relay._stream_relay import StreamRelay
 from burdockledge.scheduling import CallResult
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from result import Result
 
     from burdockledge.clock import Clock
@@ -48,23 +46,9 @@
 # route's latency target is sent to another server.
 _HEAD_TIMEOUT_TARGETS: Final = 2.0
 _MIN_HEAD_TIMEOUT_SECONDS: Final = 0.4
-# A resumable event stream without a complete event for this long, or for this
-# multiple of its pause target if that is longer, is resumed at another server.
-_RESUME_STALL_SECONDS: Final = 1.5
-_RESUME_STALL_PAUSE_TARGETS: Final = 2.0
-# Callers give up on a stream after the longest of this gap and these multiples
-# of its route's targets (the platform's pages), so it is cut off then.
-_ABANDON_SECONDS: Final = 2.0
-_ABANDON_LATENCY_TARGETS: Final = 4.0
-_ABANDON_PAUSE_TARGETS: Final = 8.0
 # A response that is not a stream is held in memory until it is complete. The
 # bound is that of the largest request bodies by default.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-# A call waits this long for another one with a suspected part to begin, or for
-# room at a server with a limit, as a multiple of its route's latency target.
-_HOLD_LATENCY_TARGETS: Final = 0.5
-_HOLD_POLL_SECONDS: Final = 0.02
-_AT_LIMIT: Final = 'every server is at the limit that it names'
 _MS_PER_SECOND: Final = 1000
 
 
@@ -93,82 +77,30 @@
         """Create a forwarder that sends through a client."""
         self._state = routing_state
         self._client = client
+        self._placer = Placer(routing_state, clock)
+        self._streams = StreamRelay(routing_state, clock, metrics)
         self._responder = responder
         self._clock = clock
         self._metrics = metrics
 
     async def forward(self, served: ServedCall) -> tuple[int, str]:
         """Send a call until its caller has a response."""
-        refusal = _Refusal('no server is known')
+        refusal = Refusal('no server is known')
         while self._may_send(served):
-            placement = await self._wait_for_placement(served)
+            placement = await self._placer.place(served)
             if placement is None:
                 break
-            if isinstance(placement, _Refusal):
+            if isinstance(placement, Refusal):
                 refusal = placement
                 break
             result = await self._send_once(served, placement)
             if not isinstance(result, str):
                 return result
-            refusal = _Refusal(result)
+            refusal = Refusal(result)
         return await self._give_up(served, refusal)
 
-    async def _wait_for_placement(
-        self, served: ServedCall
-    ) -> Placement | _Refusal | None:
-        """
-        Place a call, once its prompt and the limits of servers allow it.
-
-        :return: None if no server is left to try.
-        """
-        hold_until = (
-            self._clock.monotonic()
-            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
-        )
-        while True:
-            placement = self._try_to_place(served)
-            if not isinstance(placement, _Wait):
-                return placement
-            if self._clock.monotonic() + placement.seconds > hold_until:
-                return self._refuse_to_wait(served, placement)
-            await asyncio.sleep(max(placement.seconds, _HOLD_POLL_SECONDS))
-
-    def _try_to_place(
-        self, served: ServedCall
-    ) -> Placement | _Refusal | _Wait | None:
-        prompt = served.call.prompt
-        verdict = self._state.verdict(served.service, prompt)
-        if verdict is Verdict.blocked:
-            return _Refusal(
-                'a part of its prompt crashes servers',
-                self._state.blocked_seconds(served.service, prompt),
-            )
-        if verdict is Verdict.deferred:
-            return _Wait('a part of its prompt may crash servers')
-        tried_instance_ids = frozenset(served.tried_instance_ids)
-        placement = self._state.place(
-            served.service,
-            served.route,
-            served.urgency,
-            prompt,
-            tried_instance_ids,
-        )
-        if placement is not None:
-            return placement
-        room = self._state.seconds_until_room(
-            served.service, tried_instance_ids
-        )
-        return None if room is None else _Wait(_AT_LIMIT, room)
-
-    def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> _Refusal:
-        if wait.why != _AT_LIMIT:
-            return _Refusal(wait.why)
-        return _Refusal(
-            wait.why, self._state.limit_retry_after_seconds(served.service)
-        )
-
     async def _give_up(
-        self, served: ServedCall, refusal: _Refusal
+        self, served: ServedCall, refusal: Refusal
     ) -> tuple[int, str]:
         """Tell the caller that its call got no answer."""
         why = refusal.why
@@ -319,7 +251,13 @@
         is_stream = served.route.kind is RouteKind.stream
         try:
             if is_success and is_stream:
-                await self._relay_stream(served, placement, outcome, response)
+                await self._streams.relay(
+                    served,
+                    placement,
+                    outcome,
+                    response,
+                    may_resume=self._has_attempt_left(served),
+                )
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
             body = await response.read(_MAX_BODY_BYTES)
@@ -363,100 +301,6 @@
             and served.sends < _MAX_SENDS
         )
 
-    async def _relay_stream(
-        self,
-        served: ServedCall,
-        placement: Placement,
-        outcome: SendOutcome,
-        response: ServerResponse,
-    ) -> None:
-        """
-        Relay events as they arrive, each only once it is complete.
-
-        Only a complete event counts as progress, so that a server that sends
-        a byte now and then is recognised as stalled.
-
-        :raises IncompleteResponseError: if the stream stalls or is cut off.
-        """
-        writes = 0
-        loop = asyncio.get_running_loop()
-        stall_seconds = self._stall_timeout_seconds(served)
-        chunks = response.chunks()
-        stalls_at = loop.time() + stall_seconds
-        while True:
-            chunk = await _next_chunk(chunks, stalls_at)
-            if chunk is None:
-                break
-            events = served.event_buffer.feed(chunk)
-            if not events:
-                continue
-            outcome.progress = ResponseProgress.content
-            if not served.has_response_started:
-                await self._start_stream(served, response)
-            self._note_write(served, placement, is_first=not writes)
-            writes += 1
-            await served.caller.write(events)
-            stalls_at = loop.time() + stall_seconds
-        await self._finish_stream(served, placement, response, writes)
-
-    async def _finish_stream(
-        self,
-        served: ServedCall,
-        placement: Placement,
-        response: ServerResponse,
-        writes: int,
-    ) -> None:
-        """
-        End a stream whose body has ended.
-
-        :param writes: how often events of this response were written.
-        :raises IncompleteResponseError: if the body is not complete.
-        """
-        if not served.event_buffer.is_at_event_boundary:
-            raise IncompleteResponseError
-        if not served.has_response_started:
-            if not response.is_delimited:
-                # The server may have crashed as its answer began.
-                raise IncompleteResponseError
-            await self._start_stream(served, response)
-        if served.sends == 1:
-            self._state.note_stream_end(
-                placement, served.call.prompt.max_output_tokens, writes
-            )
-        await served.caller.finish()
-
-    def _note_write(
-        self, served: ServedCall, placement: Placement, *, is_first: bool
-    ) -> None:
-        """Learn from the pause before a write, unless a prefill caused it."""
-        pause_seconds = served.note_write(self._clock.monotonic())
-        if pause_seconds is not None and not is_first:
-            self._state.note_pause(placement, pause_seconds)
-
-    async def _start_stream(
-        self, served: ServedCall, response: ServerResponse
-    ) -> None:
-        served.has_response_started = True
-        self._metrics.observe(
-            'first_event_seconds',
-            self._clock.monotonic() - served.arrived_at,
-            route=served.route.name,
-        )
-        await served.caller.start_response(response.status, response.headers)
-
-    def _stall_timeout_seconds(self, served: ServedCall) -> float:
-        pause_target_seconds = served.route.pause_target_seconds or 0
-        if self._has_attempt_left(served):
-            return max(
-                _RESUME_STALL_SECONDS,
-                _RESUME_STALL_PAUSE_TARGETS * pause_target_seconds,
-            )
-        return max(
-            _ABANDON_SECONDS,
-            _ABANDON_LATENCY_TARGETS * served.route.latency_target_seconds,
-            _ABANDON_PAUSE_TARGETS * pause_target_seconds,
-        )
-
     def _log_placement(self, served: ServedCall, placement: Placement) -> None:
         _log.info(
             'Placed.',
@@ -479,41 +323,4 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class _Refusal:
-    """
-    Why a call is not sent, and when its caller may come back.
-
-    ``retry_after_seconds`` is 0 for the usual time, None if never.
-    """
-
-    why: str
-    retry_after_seconds: float | None = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class _Wait:
-    """Why a call has to wait, and for how long at least."""
-
-    why: str
-    seconds: float = 0.0
-
-
-async def _next_chunk(
-    chunks: AsyncIterator[bytes], stalls_at: float
-) -> bytes | None:
-    """
-    Return the next chunk of a response body, None at its end.
-
-    :param stalls_at: until when to wait, in seconds of the event loop.
-    :raises IncompleteResponseError: if the body ends early.
-    :raises StalledResponseError: if it stalls.
-    """
-    try:
-        async with asyncio.timeout_at(stalls_at):
-            return await anext(chunks, None)
-    except TimeoutError as error:
-        raise StalledResponseError from error
-
-
 __all__ = ('Forwarder',)
--- /dev/null
+++ b/src/burdockledge/relay/_placer.py
@@ -0,0 +1,104 @@
+"""Places calls, once their prompts and the limits of servers allow it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from burdockledge.quarantine import Verdict
+
+if TYPE_CHECKING:
+    from burdockledge.clock import Clock
+    from burdockledge.relay._routing_state import Placement, RoutingState
+    from burdockledge.relay._served_call import ServedCall
+
+# A call waits this long for another one with a suspected part to begin, or for
+# room at a server with a limit, as a multiple of its route's latency target.
+_HOLD_LATENCY_TARGETS: Final = 0.5
+_HOLD_POLL_SECONDS: Final = 0.02
+_AT_LIMIT: Final = 'every server is at the limit that it names'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """
+    Why a call is not sent, and when its caller may come back.
+
+    ``retry_after_seconds`` is 0 for the usual time, None if that is unknown.
+    """
+
+    why: str
+    retry_after_seconds: float | None = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    """Why a call has to wait, and for how long at least."""
+
+    why: str
+    seconds: float = 0.0
+
+
+class Placer:
+    """Finds a server for each send of a call, and waits for one if need be."""
+
+    def __init__(self, routing_state: RoutingState, clock: Clock) -> None:
+        """Create a placer that asks a routing state."""
+        self._state = routing_state
+        self._clock = clock
+
+    async def place(self, served: ServedCall) -> Placement | Refusal | None:
+        """
+        Place a call, once its prompt and the limits of servers allow it.
+
+        :return: None if no server is left to try.
+        """
+        hold_until = (
+            self._clock.monotonic()
+            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
+        )
+        while True:
+            placement = self._try_to_place(served)
+            if not isinstance(placement, _Wait):
+                return placement
+            if self._clock.monotonic() + placement.seconds > hold_until:
+                return self._refuse_to_wait(served, placement)
+            await asyncio.sleep(max(placement.seconds, _HOLD_POLL_SECONDS))
+
+    def _try_to_place(
+        self, served: ServedCall
+    ) -> Placement | Refusal | _Wait | None:
+        prompt = served.call.prompt
+        verdict = self._state.verdict(served.service, prompt)
+        if verdict is Verdict.blocked:
+            return Refusal(
+                'a part of its prompt crashes servers',
+                self._state.blocked_seconds(served.service, prompt),
+            )
+        if verdict is Verdict.deferred:
+            return _Wait('a part of its prompt may crash servers')
+        tried_instance_ids = frozenset(served.tried_instance_ids)
+        placement = self._state.place(
+            served.service,
+            served.route,
+            served.urgency,
+            prompt,
+            tried_instance_ids,
+        )
+        if placement is not None:
+            return placement
+        room = self._state.seconds_until_room(
+            served.service, tried_instance_ids
+        )
+        return None if room is None else _Wait(_AT_LIMIT, room)
+
+    def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> Refusal:
+        if wait.why != _AT_LIMIT:
+            return Refusal(wait.why)
+        return Refusal(
+            wait.why, self._state.limit_retry_after_seconds(served.service)
+        )
+
+
+__all__ = ('Placer', 'Refusal')
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.calls import Prompt, PromptPart
+from burdockledge.calls import Prompt
+from burdockledge.relay._call_codec import decode_call_start, encode_call_start
 from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
 from burdockledge.relay._part_guard import PartGuard
+from burdockledge.relay._record_decoder import RecordDecoder
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
@@ -33,10 +34,10 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from burdockledge.calls import Route, RoutingDocument, ServerInstance
+    from burdockledge.calls import Route, ServerInstance
     from burdockledge.clock import Clock
     from burdockledge.quarantine import Verdict
-    from burdockledge.registry import Registration, ServerRegistry
+    from burdockledge.registry import ServerRegistry
     from burdockledge.relay._routing_state import SendOutcome
     from burdockledge.replication import GossipExchange
     from burdockledge.wire import Note
@@ -53,22 +54,6 @@
 _MS_PER_SECOND: Final = 1000
 
 
-class RecordDecoder(ABC):
-    """Decodes records of the configuration and server streams."""
-
-    @abstractmethod
-    def decode_routing(
-        self, key: str, content: bytes
-    ) -> RoutingDocument | None:
-        """Return the configuration, None for other and invalid records."""
-
-    @abstractmethod
-    def decode_registration(
-        self, key: str, content: bytes
-    ) -> Registration | None:
-        """Return a server's registration, None if the record is invalid."""
-
-
 class ReplicatedRoutingState(RoutingState):
     """
     What a host knows from replicated records and the calls of all hosts.
@@ -175,7 +160,7 @@
             route.pause_target_seconds,
         )
         self._loads.start(start, now)
-        started = _encode_call_start(start)
+        started = encode_call_start(start)
         self.parts.note_start(call_id, started.server, service, prompt)
         self.limits.note_call(choice.instance.instance_id)
         self._exchange.call_events.announce_start(started)
@@ -406,7 +391,7 @@
         instance_id = self._instance_ids_by_hash.get(started.server)
         if instance_id is None:
             return
-        self._loads.start(_decode_call_start(started, instance_id), now)
+        self._loads.start(decode_call_start(started, instance_id), now)
         service = self._registry.service_of(instance_id)
         if service is not None:
             self.parts.apply_start(started, service)
@@ -429,41 +414,9 @@
         self._record_result(instance_id, ended.result, host)
 
 
-def _encode_call_start(start: CallStart) -> CallStarted:
-    parts = start.prompt.parts
-    return CallStarted(
-        start.call_id,
-        hash_server_key(start.instance_id),
-        start.urgency,
-        start.prefill_tokens,
-        [part.part_id for part in parts],
-        [part.tokens for part in parts],
-        start.max_output_tokens,
-        pause_target_ms=round(
-            (start.pause_target_seconds or 0) * _MS_PER_SECOND
-        ),
-    )
-
-
-def _decode_call_start(started: CallStarted, instance_id: str) -> CallStart:
-    pairs = zip(started.parts, started.part_tokens, strict=False)
-    return CallStart(
-        started.call,
-        instance_id,
-        started.tier,
-        started.unread_tokens,
-        Prompt(tuple(PromptPart(part, tokens) for part, tokens in pairs)),
-        started.output_tokens,
-        started.pause_target_ms / _MS_PER_SECOND
-        if started.pause_target_ms
-        else None,
-    )
-
-
 __all__ = (
     'CONFIGURATION_STREAM',
     'SERVERS_STREAM',
     'STREAMS',
-    'RecordDecoder',
     'ReplicatedRoutingState',
 )
--- /dev/null
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -0,0 +1,166 @@
+"""Relays event streams of servers to the callers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from burdockledge.calls import ResponseProgress
+from burdockledge.relay._ports import (
+    IncompleteResponseError,
+    StalledResponseError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from burdockledge.clock import Clock
+    from burdockledge.relay._ports import ServerResponse
+    from burdockledge.relay._routing_state import (
+        Placement,
+        RoutingState,
+        SendOutcome,
+    )
+    from burdockledge.relay._served_call import ServedCall
+    from burdockledge.telemetry import Metrics
+
+# A resumable event stream without a complete event for this long, or for this
+# multiple of its pause target if that is longer, is resumed at another server.
+_RESUME_STALL_SECONDS: Final = 1.5
+_RESUME_STALL_PAUSE_TARGETS: Final = 2.0
+# Callers give up on a stream after the longest of this gap and these multiples
+# of its route's targets (the platform's pages), so it is cut off then.
+_ABANDON_SECONDS: Final = 2.0
+_ABANDON_LATENCY_TARGETS: Final = 4.0
+_ABANDON_PAUSE_TARGETS: Final = 8.0
+
+
+class StreamRelay:
+    """Relays streams, and learns from their pauses."""
+
+    def __init__(
+        self, routing_state: RoutingState, clock: Clock, metrics: Metrics
+    ) -> None:
+        """Create a relay that tells a routing state what it learns."""
+        self._state = routing_state
+        self._clock = clock
+        self._metrics = metrics
+
+    async def relay(
+        self,
+        served: ServedCall,
+        placement: Placement,
+        outcome: SendOutcome,
+        response: ServerResponse,
+        *,
+        may_resume: bool,
+    ) -> None:
+        """
+        Relay events as they arrive, each only once it is complete.
+
+        Only a complete event counts as progress, so that a server that sends
+        a byte now and then is recognised as stalled.
+
+        :param may_resume: whether another server can go on with a stream
+            that stalls.
+        :raises IncompleteResponseError: if the stream stalls or is cut off.
+        """
+        writes = 0
+        loop = asyncio.get_running_loop()
+        stall_seconds = _stall_timeout_seconds(served, may_resume=may_resume)
+        chunks = response.chunks()
+        stalls_at = loop.time() + stall_seconds
+        while True:
+            chunk = await _next_chunk(chunks, stalls_at)
+            if chunk is None:
+                break
+            events = served.event_buffer.feed(chunk)
+            if not events:
+                continue
+            outcome.progress = ResponseProgress.content
+            if not served.has_response_started:
+                await self._start_stream(served, response)
+            self._note_write(served, placement, is_first=not writes)
+            writes += 1
+            await served.caller.write(events)
+            stalls_at = loop.time() + stall_seconds
+        await self._finish_stream(served, placement, response, writes)
+
+    async def _finish_stream(
+        self,
+        served: ServedCall,
+        placement: Placement,
+        response: ServerResponse,
+        writes: int,
+    ) -> None:
+        """
+        End a stream whose body has ended.
+
+        :param writes: how often events of this response were written.
+        :raises IncompleteResponseError: if the body is not complete.
+        """
+        if not served.event_buffer.is_at_event_boundary:
+            raise IncompleteResponseError
+        if not served.has_response_started:
+            if not response.is_delimited:
+                # The server may have crashed as its answer began.
+                raise IncompleteResponseError
+            await self._start_stream(served, response)
+        if served.sends == 1:
+            self._state.note_stream_end(
+                placement, served.call.prompt.max_output_tokens, writes
+            )
+        await served.caller.finish()
+
+    def _note_write(
+        self, served: ServedCall, placement: Placement, *, is_first: bool
+    ) -> None:
+        """Learn from the pause before a write, unless a prefill caused it."""
+        pause_seconds = served.note_write(self._clock.monotonic())
+        if pause_seconds is not None and not is_first:
+            self._state.note_pause(placement, pause_seconds)
+
+    async def _start_stream(
+        self, served: ServedCall, response: ServerResponse
+    ) -> None:
+        served.has_response_started = True
+        self._metrics.observe(
+            'first_event_seconds',
+            self._clock.monotonic() - served.arrived_at,
+            route=served.route.name,
+        )
+        await served.caller.start_response(response.status, response.headers)
+
+
+def _stall_timeout_seconds(served: ServedCall, *, may_resume: bool) -> float:
+    pause_target_seconds = served.route.pause_target_seconds or 0
+    if may_resume:
+        return max(
+            _RESUME_STALL_SECONDS,
+            _RESUME_STALL_PAUSE_TARGETS * pause_target_seconds,
+        )
+    return max(
+        _ABANDON_SECONDS,
+        _ABANDON_LATENCY_TARGETS * served.route.latency_target_seconds,
+        _ABANDON_PAUSE_TARGETS * pause_target_seconds,
+    )
+
+
+async def _next_chunk(
+    chunks: AsyncIterator[bytes], stalls_at: float
+) -> bytes | None:
+    """
+    Return the next chunk of a response body, None at its end.
+
+    :param stalls_at: until when to wait, in seconds of the event loop.
+    :raises IncompleteResponseError: if the body ends early.
+    :raises StalledResponseError: if it stalls.
+    """
+    try:
+        async with asyncio.timeout_at(stalls_at):
+            return await anext(chunks, None)
+    except TimeoutError as error:
+        raise StalledResponseError from error
+
+
+__all__ = ('StreamRelay',)
--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -14,6 +14,7 @@
     ReplicatedRoutingState,
     _forwarder,
     _responder,
+    _stream_relay,
 )
 from burdockledge.relay import _relay as relay_module
 
@@ -52,16 +53,15 @@
 
 def complete_truncated_streams() -> None:
     """End a truncated stream as if it were complete."""
-    original = _forwarder._chunks_with_timeout
+    original = _stream_relay._next_chunk
 
-    async def ignore_incomplete_response(answer: Any, limit: Any) -> Any:
+    async def ignore_incomplete_response(chunks: Any, stalls_at: float) -> Any:
         try:
-            async for chunk in original(answer, limit):
-                yield chunk
+            return await original(chunks, stalls_at)
         except _forwarder.IncompleteResponseError:
-            return
+            return None
 
-    _forwarder._chunks_with_timeout = ignore_incomplete_response
+    _stream_relay._next_chunk = ignore_incomplete_response
 
 
 def trust_caller_headers() -> None:
