Test the kept records and the new fields of notes

Change: the round trip of notes holds suspects, clearances, digest, limits and calls to limited servers, in one datagram and in fragments; the store's client writes, reads and drops kept records, and reports a refused call.

--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -154,3 +154,23 @@
         assert await client.registered_hosts() == Ok({'h1': '10.0.0.1:7340'})
 
     run_with_store(store, test)
+
+
+def test_kept_records_are_read_until_they_are_dropped() -> None:
+    """Guards against blocks that hosts which all restart can not read."""
+    store = StandInStore()
+
+    async def test(client: StoreClient) -> None:
+        assert await client.read_kept() == Ok({})
+        assert await client.write_kept('7', b'\x00evidence')
+        assert await client.write_kept('8', b'more')
+        assert await client.read_kept() == Ok(
+            {'7': b'\x00evidence', '8': b'more'}
+        )
+        assert await client.write_kept('7', None)
+        assert await client.read_kept() == Ok({'8': b'more'})
+        store.next_statuses = [503, 429]
+        assert not await client.write_kept('9', b'x')
+        assert await client.read_kept() == Err(SourceFailure.refused)
+
+    run_with_store(store, test)
--- a/tests/wire/test_notes.py
+++ b/tests/wire/test_notes.py
@@ -12,6 +12,8 @@
     CallEnded,
     CallHeard,
     CallStarted,
+    Clearance,
+    CrashSuspect,
     Fragment,
     Note,
     NoteAssembler,
@@ -37,8 +39,12 @@
         [StreamUpdate('s', 1, 5, 3, entries, True)],
         [StreamPull('s', 4)],
         [CallStarted(1, 2, 3, 4, [5, 6], [7, 8], 9, True)],
-        [CallHeard(1, 2)],
+        [CallHeard(1, 2, 3, 1.9)],
         [CallEnded(1, 2, 0)],
+        suspects=[CrashSuspect(1, 2, [2**62, 3], True, 200, 10)],
+        clearances=[Clearance(1, 2**62, 5)],
+        evidence_digest=2**62,
+        limited_calls=[2**32 - 1],
     )
 
 
