Name the evidence against a part by what it is

Cause: a newcomer read "proven" once as sound and once as guilty, and a block where a part was only suspected.

Change: PartCase, was_answered, blocking_index, crashes_since_block. Behaviour and tests stay as they are.

--- a/src/burdockledge/quarantine/__init__.py
+++ b/src/burdockledge/quarantine/__init__.py
@@ -9,9 +9,9 @@
 
 from burdockledge.quarantine._assessment import (
     Assessment,
-    Block,
     Crash,
     CrashedCall,
+    PartCase,
     assess,
 )
 from burdockledge.quarantine._evidence import CrashEvidence
@@ -24,10 +24,10 @@
 
 __all__ = (
     'Assessment',
-    'Block',
     'Crash',
     'CrashEvidence',
     'CrashedCall',
+    'PartCase',
     'PartName',
     'Quarantine',
     'QuarantineEvent',
--- a/src/burdockledge/quarantine/_assessment.py
+++ b/src/burdockledge/quarantine/_assessment.py
@@ -25,7 +25,7 @@
 # many are needed for a part that was answered before.
 _BLOCK_POINTS: Final = 4
 _SUSPICION_POINTS: Final = 2
-_PROVEN_FACTOR: Final = 2
+_ANSWERED_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,23 +66,23 @@
 
 
 @dataclass(slots=True)
-class Block:
+class PartCase:
     """
     The evidence against a part.
 
     ``crash_times`` holds the times of the crashes that count, in order, and
-    ``servers`` the engines that crashed; ``proved_at`` is the index of the
-    crash that was enough to block the part. ``is_proven`` tells whether the
+    ``servers`` the engines that crashed; ``blocking_index`` is the index of the
+    crash that was enough to block the part. ``was_answered`` tells whether the
     part was ever answered, ``depth`` its place in the prompt.
     """
 
     part: int
-    is_proven: bool = False
+    was_answered: bool = False
     points: int = 0
     depth: int = 0
     crash_times: list[float] = field(default_factory=list)
     servers: list[int] = field(default_factory=list)
-    proved_at: int = 0
+    blocking_index: int = 0
 
     @property
     def is_enough(self) -> bool:
@@ -100,13 +100,13 @@
         return self.crash_times[-1]
 
     @property
-    def crashes_since_proof(self) -> int:
+    def crashes_since_block(self) -> int:
         """How many more engines crashed once the part was blocked."""
-        return len(self.crash_times) - 1 - self.proved_at
+        return len(self.crash_times) - 1 - self.blocking_index
 
     @property
     def _factor(self) -> int:
-        return _PROVEN_FACTOR if self.is_proven else 1
+        return _ANSWERED_FACTOR if self.was_answered else 1
 
     def add(self, crash: Crash, call: CrashedCall, depth: int) -> None:
         """Count a crash if its engine got the call after the one before."""
@@ -118,33 +118,33 @@
         self.crash_times.append(crash.at)
         self.servers.append(crash.server)
         if not was_enough:
-            self.proved_at = len(self.crash_times) - 1
+            self.blocking_index = len(self.crash_times) - 1
 
 
 @dataclass(frozen=True, slots=True)
 class Assessment:
     """The parts that are blocked and those that are suspected, by key."""
 
-    blocked: dict[int, Block] = field(default_factory=dict)
-    suspected: dict[int, Block] = field(default_factory=dict)
+    blocked: dict[int, PartCase] = field(default_factory=dict)
+    suspected: dict[int, PartCase] = field(default_factory=dict)
 
 
 def assess(
     crashes: Iterable[Crash],
     is_void: Callable[[int, float], bool],
-    is_proven: Callable[[int], bool],
+    was_answered: Callable[[int], bool],
 ) -> Assessment:
     """
     Return the parts to block and those to suspect.
 
     :param is_void: whether evidence against a part at a time counts no more,
         as the part was answered later.
-    :param is_proven: whether a part was ever answered to its end.
+    :param was_answered: whether a part was ever answered to its end.
     """
     unexplained = sorted(crashes, key=_crash_order)
-    blocked: dict[int, Block] = {}
+    blocked: dict[int, PartCase] = {}
     while True:
-        cases = _build_cases(unexplained, is_void, is_proven)
+        cases = _build_cases(unexplained, is_void, was_answered)
         worst = max(
             (case for case in cases.values() if case.is_enough),
             key=_case_order,
@@ -165,16 +165,16 @@
 def _build_cases(
     crashes: Iterable[Crash],
     is_void: Callable[[int, float], bool],
-    is_proven: Callable[[int], bool],
-) -> dict[int, Block]:
-    cases: dict[int, Block] = {}
+    was_answered: Callable[[int], bool],
+) -> dict[int, PartCase]:
+    cases: dict[int, PartCase] = {}
     for crash in crashes:
         for part, (call, depth) in _blamed_parts(crash).items():
             if is_void(part, crash.at):
                 continue
             case = cases.get(part)
             if case is None:
-                case = Block(part, is_proven=is_proven(part))
+                case = PartCase(part, was_answered=was_answered(part))
                 cases[part] = case
             case.add(crash, call, depth)
     return cases
@@ -195,9 +195,9 @@
     return crash.at, crash.server
 
 
-def _case_order(case: Block) -> tuple[bool, int, int, int]:
-    """Rank unproven parts first, then by evidence and place in the prompt."""
-    return not case.is_proven, case.points, case.depth, case.part
+def _case_order(case: PartCase) -> tuple[bool, int, int, int]:
+    """Rank parts that were never answered first, then by the evidence."""
+    return not case.was_answered, case.points, case.depth, case.part
 
 
-__all__ = ('Assessment', 'Block', 'Crash', 'CrashedCall', 'assess')
+__all__ = ('Assessment', 'PartCase', 'Crash', 'CrashedCall', 'assess')
--- a/src/burdockledge/quarantine/_quarantine.py
+++ b/src/burdockledge/quarantine/_quarantine.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.quarantine._assessment import Assessment, Block, assess
+from burdockledge.quarantine._assessment import Assessment, PartCase, assess
 from burdockledge.quarantine._evidence import CrashEvidence
 from burdockledge.wire import Clearance, CrashSuspect
 
@@ -26,7 +26,7 @@
 _TRIAL_FACTOR: Final = 4
 _MAX_TRIALS: Final = 2
 # Parts that were answered are remembered up to this number.
-_MAX_PROVEN_PARTS: Final = 8192
+_MAX_ANSWERED_PARTS: Final = 8192
 _MAX_FLIGHTS: Final = 8192
 _TRIM_SECONDS: Final = 1.0
 # The news of a call of another host is at most this late; among 200 hosts it
@@ -50,7 +50,7 @@
 
     event: str
     part: int
-    evidence: Block | None = None
+    evidence: PartCase | None = None
 
 
 @dataclass(slots=True)
@@ -81,7 +81,7 @@
         """Create a quarantine without evidence."""
         self._evidence = CrashEvidence()
         self._flights: OrderedDict[int, _Flight] = OrderedDict()
-        self._proven: OrderedDict[int, None] = OrderedDict()
+        self._answered_parts: OrderedDict[int, None] = OrderedDict()
         self._assessment = Assessment()
         self._trimmed_at = 0.0
         self.is_trial_host: Callable[[int], bool] = lambda _: False
@@ -93,12 +93,12 @@
         return self._evidence.digest
 
     @property
-    def blocked(self) -> dict[int, Block]:
+    def blocked(self) -> dict[int, PartCase]:
         """The blocked parts, by key, with the evidence."""
         return self._assessment.blocked
 
     @property
-    def suspected(self) -> dict[int, Block]:
+    def suspected(self) -> dict[int, PartCase]:
         """The suspected parts, by key, with the evidence."""
         return self._assessment.suspected
 
@@ -169,12 +169,12 @@
         if flight is None:
             return
         for part in flight.parts:
-            self._proven[part] = None
-            self._proven.move_to_end(part)
+            self._answered_parts[part] = None
+            self._answered_parts.move_to_end(part)
             if self._evidence.is_blamed(part):
                 self._clear(Clearance(call_id, part, 0), now)
-        while len(self._proven) > _MAX_PROVEN_PARTS:
-            self._proven.popitem(last=False)
+        while len(self._answered_parts) > _MAX_ANSWERED_PARTS:
+            self._answered_parts.popitem(last=False)
 
     def note_end(self, call_id: int) -> None:
         """Record any other end of a call."""
@@ -244,7 +244,7 @@
         self._assessment = assess(
             self._evidence.crashes,
             self._evidence.is_void,
-            self._proven.__contains__,
+            self._answered_parts.__contains__,
         )
         for event in _changes(before, self._assessment):
             self.on_event(event)
@@ -264,8 +264,8 @@
         trial_at = self._trial_at(self.blocked[part])
         return trial_at is not None and now >= trial_at
 
-    def _trial_at(self, block: Block) -> float | None:
-        trials = block.crashes_since_proof
+    def _trial_at(self, block: PartCase) -> float | None:
+        trials = block.crashes_since_block
         if trials >= _MAX_TRIALS:
             return None
         wait_seconds = _TRIAL_SECONDS * math.pow(_TRIAL_FACTOR, trials)
--- a/tests/quarantine/test_assessment.py
+++ b/tests/quarantine/test_assessment.py
@@ -147,7 +147,7 @@
     crashes = [crash(at, STARTING) for at in range(1, 9)]
     assessment = judge(crashes, PROVEN)
     assert not assessment.suspected
-    assert assessment.blocked[BAD].crashes_since_proof == 6
+    assert assessment.blocked[BAD].crashes_since_block == 6
 
 
 @pytest.mark.parametrize(
