Share the disturbances of the fleet between the tests of both incidents

Cause: both test files had the same restarts, cuts and new hosts.

Change: they live beside the fleet.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -472,3 +472,41 @@
     """Return the share of the calls whose streams were whole."""
     counted = list(answers)
     return sum(answer.is_whole for answer in counted) / max(1, len(counted))
+
+
+Event = Callable[[Fleet], Awaitable[None]]
+
+
+async def nothing(fleet: Fleet) -> None:
+    """Leave the hosts alone."""
+
+
+async def restart_some(fleet: Fleet) -> None:
+    """Restart four hosts, which then know nothing."""
+    names = list(fleet.hosts)[:4]
+    for name in names:
+        await fleet.kill_host(name)
+    await asyncio.sleep(0.5)
+    for name in names:
+        await fleet.start_host(name)
+
+
+async def cut_some(fleet: Fleet) -> None:
+    """Cut two hosts from the others for some seconds."""
+    names = list(fleet.hosts)
+    cut_at = fleet.loop.time()
+    for name in names[:2]:
+        for other in names:
+            fleet.network.block(name, other)
+            fleet.network.block(other, name)
+    await asyncio.sleep(4)
+    fleet.network.heal()
+    for name in names[:2]:
+        fleet.note_host_fault(name, cut_at)
+
+
+async def add_some(fleet: Fleet) -> None:
+    """Add three new hosts."""
+    first = len(fleet.hosts)
+    for number in range(first, first + 3):
+        await fleet.start_host(f'h{number}')
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -21,8 +20,13 @@
     RESUMABLE_ROUTE,
     Answer,
     Arrival,
+    Event,
     Fleet,
+    add_some,
     begun_share,
+    cut_some,
+    nothing,
+    restart_some,
 )
 
 SYSTEM_PART: Final = 1
@@ -37,42 +41,6 @@
 WARM_UP_SECONDS: Final = 4.0
 BAD_SECONDS: Final = 26.0
 
-Event = Callable[[Fleet], Awaitable[None]]
-
-
-async def nothing(fleet: Fleet) -> None:
-    """Leave the hosts alone."""
-
-
-async def restart_some(fleet: Fleet) -> None:
-    """Restart four hosts in the middle of it."""
-    for name in list(fleet.hosts)[:4]:
-        await fleet.kill_host(name)
-    await asyncio.sleep(0.5)
-    for name in [f'h{number}' for number in range(4)]:
-        await fleet.start_host(name)
-
-
-async def cut_some(fleet: Fleet) -> None:
-    """Cut two hosts from the others for some seconds."""
-    names = list(fleet.hosts)
-    cut_at = fleet.loop.time()
-    for name in names[:2]:
-        for other in names:
-            fleet.network.block(name, other)
-            fleet.network.block(other, name)
-    await asyncio.sleep(4)
-    fleet.network.heal()
-    for name in names[:2]:
-        fleet.note_host_fault(name, cut_at)
-
-
-async def add_some(fleet: Fleet) -> None:
-    """Add three new hosts."""
-    first = len(fleet.hosts)
-    for number in range(first, first + 3):
-        await fleet.start_host(f'h{number}')
-
 
 async def crash_engines(fleet: Fleet) -> None:
     """End three engines at once, for another cause."""
--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,8 +12,13 @@
     CONTACT_SECONDS,
     ONCE_ROUTE,
     Engine,
+    Event,
     Fleet,
+    add_some,
     begun_share,
+    cut_some,
+    nothing,
+    restart_some,
 )
 
 # The users' rule LIMIT: in any 4 s at most one and a half times what the limit
@@ -27,43 +31,6 @@
 LIMITED_SECONDS: Final = 14.0
 BURST_SECONDS: Final = 2.0
 
-Event = Callable[[Fleet], Awaitable[None]]
-
-
-async def nothing(fleet: Fleet) -> None:
-    """Leave the hosts alone."""
-
-
-async def restart_some(fleet: Fleet) -> None:
-    """Restart four hosts, which then know of no limit."""
-    names = list(fleet.hosts)[:4]
-    for name in names:
-        await fleet.kill_host(name)
-    await asyncio.sleep(0.5)
-    for name in names:
-        await fleet.start_host(name)
-
-
-async def cut_some(fleet: Fleet) -> None:
-    """Cut two hosts from the others for some seconds."""
-    names = list(fleet.hosts)
-    cut_at = fleet.loop.time()
-    for name in names[:2]:
-        for other in names:
-            fleet.network.block(name, other)
-            fleet.network.block(other, name)
-    await asyncio.sleep(4)
-    fleet.network.heal()
-    for name in names[:2]:
-        fleet.note_host_fault(name, cut_at)
-
-
-async def add_some(fleet: Fleet) -> None:
-    """Add three new hosts."""
-    first = len(fleet.hosts)
-    for number in range(first, first + 3):
-        await fleet.start_host(f'h{number}')
-
 
 @dataclass(frozen=True)
 class Case:
