Compute the keys of prompt parts and name their path in one place

Cause: the guard computed the keys of another host's call itself, without the bound on parts that a host's own calls have; the command repeated the path that the adapter names.

Change: part_keys takes the ids of a prompt's parts and serves both; the command takes the path from the adapter. The only difference is for prompts of more than 17 parts, of which other hosts' calls now count the same 16.

Tests: quarantine, cli, relay, replication and platform tests pass; linters and type checker clean.

--- a/src/burdockledge/cli/_parts.py
+++ b/src/burdockledge/cli/_parts.py
@@ -16,11 +16,10 @@
     run_async,
 )
 from burdockledge.peers import PeerKeys, PeerKeysError
-from burdockledge.platform import RELEASE_CONTEXT, PartRelease
+from burdockledge.platform import PARTS_PATH, RELEASE_CONTEXT, PartRelease
 from burdockledge.settings import CommaList, CommandSettings
 
 _TIMEOUT_SECONDS: Final = 5
-_PATH: Final = '/prompt-parts'
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 
@@ -116,7 +115,7 @@
     settings: PartsSettings, method: str, body: bytes | None = None
 ) -> Result[tuple[int, Any], ExitCode]:
     """Return the status and, for 200, the document of the response."""
-    url = f'http://{settings.control_address}{_PATH}'
+    url = f'http://{settings.control_address}{PARTS_PATH}'
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
     try:
         async with (
--- a/src/burdockledge/platform/__init__.py
+++ b/src/burdockledge/platform/__init__.py
@@ -4,6 +4,7 @@
 
 from burdockledge.platform._documents import PlatformDecoder
 from burdockledge.platform._front import Front
+from burdockledge.platform._names import PARTS_PATH
 from burdockledge.platform._part_endpoint import (
     RELEASE_CONTEXT,
     PartEndpoint,
@@ -19,6 +20,7 @@
     'PartEndpoint',
     'PartRelease',
     'PlatformDecoder',
+    'PARTS_PATH',
     'RELEASE_CONTEXT',
     'StoreClient',
     'load_host_settings',
--- a/src/burdockledge/quarantine/_parts.py
+++ b/src/burdockledge/quarantine/_parts.py
@@ -8,7 +8,7 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from burdockledge.calls import Prompt
+    from collections.abc import Sequence
 
 _PART_BITS: Final = 32
 _PART_MASK: Final = (1 << _PART_BITS) - 1
@@ -41,15 +41,19 @@
     return (max(1, service_hash) << _PART_BITS) | (part_id & _PART_MASK)
 
 
-def part_keys(service: str, prompt: Prompt) -> tuple[int, ...]:
-    """Return the keys of the parts that a prompt shares with others."""
-    shared = prompt.shared_parts
-    if not shared:
+def part_keys(service: str, part_ids: Sequence[int]) -> tuple[int, ...]:
+    """
+    Return the keys of the parts that a prompt shares with others.
+
+    :param part_ids: the ids of all its parts, in order; the last one belongs
+        to the prompt alone.
+    """
+    shared_count = min(len(part_ids) - 1, _MAX_PARTS)
+    shared_ids = part_ids[: max(0, shared_count)]
+    if not shared_ids:
         return ()
     first = part_key(service, 0)
-    return tuple(
-        first | (part.part_id & _PART_MASK) for part in shared[:_MAX_PARTS]
-    )
+    return tuple(first | (part_id & _PART_MASK) for part_id in shared_ids)
 
 
 __all__ = ('PartName', 'part_key', 'part_keys')
--- a/src/burdockledge/relay/_part_guard.py
+++ b/src/burdockledge/relay/_part_guard.py
@@ -88,17 +88,17 @@
     def verdict(self, service: str, prompt: Prompt) -> Verdict:
         """Return whether a call may be sent to an engine now."""
         return self.quarantine.verdict(
-            part_keys(service, prompt), self._clock.monotonic()
+            _keys_of(service, prompt), self._clock.monotonic()
         )
 
     def may_repeat(self, service: str, prompt: Prompt) -> bool:
         """Return whether a call that may have run may be sent again."""
-        return not self.quarantine.is_suspected(part_keys(service, prompt))
+        return not self.quarantine.is_suspected(_keys_of(service, prompt))
 
     def blocked_seconds(self, service: str, prompt: Prompt) -> float | None:
         """Return the time until a blocked call may be tried, None if never."""
         return self.quarantine.blocked_seconds(
-            part_keys(service, prompt), self._clock.monotonic()
+            _keys_of(service, prompt), self._clock.monotonic()
         )
 
     def guarded_parts(self) -> list[GuardedPart]:
@@ -139,7 +139,7 @@
         self.quarantine.note_start(
             call_id,
             server,
-            part_keys(service, prompt),
+            _keys_of(service, prompt),
             self._clock.monotonic(),
             is_own=True,
         )
@@ -169,11 +169,10 @@
 
     def apply_start(self, started: CallStarted, service: str) -> None:
         """Follow a call of another host."""
-        first = part_key(service, 0)
         self.quarantine.note_start(
             started.call,
             started.server,
-            tuple(first | part for part in started.parts[:-1]),
+            part_keys(service, started.parts),
             self._clock.monotonic(),
             is_own=False,
         )
@@ -219,4 +218,8 @@
             self.on_event(event)
 
 
+def _keys_of(service: str, prompt: Prompt) -> tuple[int, ...]:
+    return part_keys(service, [part.part_id for part in prompt.parts])
+
+
 __all__ = ('GuardedPart', 'PartGuard', 'PartOperations')
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from burdockledge.calls import Prompt, PromptPart
 from burdockledge.quarantine import (
     PartName,
     Quarantine,
@@ -52,8 +51,7 @@
     prompt_parts: tuple[int, ...], shared: tuple[int, ...]
 ) -> None:
     """Guards against evidence on a part that belongs to one request."""
-    prompt = Prompt(tuple(PromptPart(part, 10) for part in prompt_parts))
-    keys = part_keys(SERVICE, prompt)
+    keys = part_keys(SERVICE, prompt_parts)
     assert [PartName.from_key(key).part_id for key in keys] == list(shared)
 
 
