--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import shutil
@@ -13,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 from standins.wire import encode, read_message
@@ -166,16 +168,11 @@
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = deploy['roles']['entry']
         command = [
-            str(self.settings)
-            if word == '--settings_file=/etc/burdockledge/local.toml'
+            f'--settings_file={self.settings}'
+            if word.startswith('--settings_file=')
             else word
             for word in role['run'].split(' ')
         ]
-        command = [
-            f'--settings_file={self.settings}' if word == str(self.settings)
-            else word
-            for word in command
-        ]
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -293,15 +290,15 @@
 class Caller:
     """Sends requests on new channels, and records what comes back."""
 
+    _ids = itertools.count(1)
+
     def __init__(self, record: Record) -> None:
         """Create a caller."""
         self._record = record
-        self._count = 0
 
     def new_id(self) -> str:
-        """Return a request id that was not used before."""
-        self._count += 1
-        return f'{os.getpid():08x}{self._count:08x}'
+        """Return a request id that no caller has used before."""
+        return f'{os.getpid():08x}{next(self._ids):08x}'
 
     async def send(
         self,
@@ -337,10 +334,94 @@
         return request_id, status
 
 
+class KeptChannels:
+    """Sends requests on channels that are kept open, as consumers do."""
+
+    def __init__(self, record: Record, prefix: str) -> None:
+        """Create a set without channels; ids begin with the prefix."""
+        self._record = record
+        self._prefix = prefix
+        self._count = 0
+        self._idle: dict[str, list] = {}
+
+    async def send(
+        self,
+        host: Host,
+        method: str,
+        path: str,
+        key: str,
+        deadline_ms: int,
+        body: bytes,
+        http_host: str,
+    ) -> tuple[str, bool, str]:
+        """
+        Send a request and read its answer.
+
+        Return its id, whether its channel had served a request before, and
+        how it ended: ``answered``, ``cut`` in the answer, ``closed`` by the
+        host without a byte of an answer, or ``left`` by this caller.
+        """
+        self._count += 1
+        request_id = f'{self._prefix}{self._count:07x}'
+        idle = self._idle.setdefault(host.front, [])
+        is_kept = bool(idle)
+        ip, _, port = host.front.rpartition(':')
+        self._record(
+            'caller', 'sends', id=request_id, host=host.name, path=path,
+            kept=is_kept,
+        )  # fmt: skip
+        writer = None
+        end = 'closed'
+        status = 0
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                reader, writer = (
+                    idle.pop()
+                    if is_kept
+                    else await asyncio.open_connection(ip, int(port))
+                )
+                writer.write(
+                    encode(
+                        f'{method} {path} HTTP/1.1',
+                        [
+                            ('Host', http_host),
+                            ('Burdockledge-Request-Id', request_id),
+                            ('Burdockledge-Deadline-Ms', str(deadline_ms)),
+                            ('Authorization', f'Token {key}'),
+                        ],
+                        body,
+                    )
+                )
+                answer = await read_message(reader)
+            status = answer.status
+            end = 'answered' if answer.is_complete else 'cut'
+            if answer.is_complete and answer.get('Connection') != 'close':
+                idle.append((reader, writer))
+                writer = None
+        except TimeoutError:
+            end = 'left'
+        except asyncio.IncompleteReadError as error:
+            end = 'cut' if error.partial else 'closed'
+        except OSError:
+            end = 'closed'
+        finally:
+            if writer is not None:
+                writer.close()
+        self._record('caller', end, id=request_id, status=status)
+        return request_id, is_kept, end
+
+
+# Exit codes of case.py; run.sh maps the first one to 1, so that an error of
+# the interpreter is not taken for a broken rule.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
+
+
 def run_case(work) -> int:
-    """Run a case; return 1 if its rule was broken, 0 if it held, 2 if not run."""
+    """Run a case and return its exit code."""
     try:
-        return 1 if asyncio.run(work) else 0
+        return BROKEN if asyncio.run(work) else HELD
     except CannotRunError as error:
         print(f'the case could not run: {error}')
-        return 2
+    except Exception:
+        traceback.print_exc()
+    return NOT_RUN
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -145,6 +145,8 @@
 
     event_count = 3
     event_seconds = 0.02
+    # Time until the head and the first event, for waiting and prefill.
+    first_event_seconds = 0.02
 
     async def answer(
         self, request: Message, writer: asyncio.StreamWriter
@@ -160,6 +162,7 @@
             id=request_id,
             path=request.start.split(' ')[1],
         )
+        await asyncio.sleep(self.first_event_seconds)
         writer.write(
             b'HTTP/1.1 200 OK\r\n'
             + f'Burdockledge-Request-Id: {request_id}\r\n'.encode()
@@ -168,7 +171,8 @@
             + b'Transfer-Encoding: chunked\r\n\r\n'
         )
         for number in range(1, self.event_count + 1):
-            await asyncio.sleep(self.event_seconds)
+            if number > 1:
+                await asyncio.sleep(self.event_seconds)
             event = f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,6 +12,7 @@
 from standins.wire import Message, encode, read_message
 
 READ_BYTES = 1024 * 1024
+RECORD_BYTES = 262144
 
 
 class Store:
@@ -41,7 +42,10 @@
 
     def write_configuration(self, document: dict) -> None:
         """Write a version of the configuration; its return is the ack."""
-        self.write('keyed.op', 'config', json.dumps(document).encode())
+        text = json.dumps(document, separators=(',', ':')).encode()
+        if len(text) > RECORD_BYTES:
+            raise ValueError('the record is too large for the store')
+        self.write('keyed.op', 'config', text)
         self._record('operator', 'ack', version=document['version'])
 
     async def _serve(
