--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -36,6 +36,10 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    def share_topics(self, other: Store) -> None:
+        """Serve the topics of another listener."""
+        self._topics = other._topics
+
     def write(self, topic: str, key: str, value: bytes) -> None:
         """Append a record, as the operator or a server does."""
         self._topics.setdefault(topic, []).append((key.encode(), value))
