--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -54,34 +54,40 @@
         self._file.flush()
 
 
-def _free_ports(count: int) -> list[int]:
-    """Return free ports, the last two of them neighbours."""
+def _free_ports(ip: str, count: int) -> list[int]:
+    """Return TCP ports that are free on a loopback address."""
     sockets = []
-    ports = []
     for _ in range(count):
         one = socket.socket()
-        one.bind(('127.0.0.1', 0))
+        one.bind((ip, 0))
         sockets.append(one)
-        ports.append(one.getsockname()[1])
+    ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
     return ports
 
 
-def _free_udp_pair() -> int:
+def _free_udp_pair(ips: list[str]) -> int:
+    """Return a UDP port that is free with the next one on all addresses."""
     for _ in range(100):
-        first = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        second = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            first.bind(('127.0.0.1', 0))
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            first.bind((ips[0], 0))
             port = first.getsockname()[1]
-            second.bind(('127.0.0.1', port + 1))
-        except (OSError, OverflowError):
-            continue
-        finally:
-            first.close()
-            second.close()
-        return port
+            try:
+                for ip in ips:
+                    for number in (port, port + 1):
+                        if (ip, number) == (ips[0], port):
+                            continue
+                        other = stack.enter_context(
+                            socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                        )
+                        other.bind((ip, number))
+            except (OSError, OverflowError):
+                continue
+            return port
     raise CannotRunError('no free ports')
 
 
@@ -97,7 +103,7 @@
         self.ip = peer_ip
         self.folder = folder
         self.record = record
-        front, readiness, control, directory = _free_ports(4)
+        front, readiness, control, directory = _free_ports(peer_ip, 4)
         self.front = f'{peer_ip}:{front}'
         self.readiness = f'{peer_ip}:{readiness}'
         self.control = f'{peer_ip}:{control}'
@@ -262,7 +268,7 @@
             )
             for number in range(count)
         ]  # fmt: skip
-        port = _free_udp_pair()
+        port = _free_udp_pair([host.ip for host in self.hosts])
         seeds = [host.control for host in self.hosts[:3]]
         for host in self.hosts:
             host.write_settings(store_address, seeds, port)
@@ -418,8 +424,12 @@
 
 def run_case(work) -> int:
     """Run a case and return its exit code."""
+    # A stop from outside ends the hosts and removes the folder, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         return BROKEN if asyncio.run(work) else HELD
+    except KeyboardInterrupt:
+        print('the case was stopped')
     except CannotRunError as error:
         print(f'the case could not run: {error}')
     except Exception:
