Log which background task failed and where

The only trace in the log was '[asyncio] task of store-reader failed' and the text of the error: neither which of the service's two tasks had ended nor the code that raised.

--- a/src/burdockledge/kernel/_tasks.py
+++ b/src/burdockledge/kernel/_tasks.py
@@ -49,9 +49,12 @@
             return
         error = task.exception()
         if error is not None:
-            loop = task.get_loop()
-            loop.call_exception_handler(
-                {'message': f'task of {self.name} failed', 'exception': error},
+            work = getattr(task.get_coro(), '__qualname__', 'task')
+            task.get_loop().call_exception_handler(
+                {
+                    'message': f'{work} of {self.name} failed',
+                    'exception': error,
+                },
             )
 
 
--- a/src/burdockledge/telemetry/_logs.py
+++ b/src/burdockledge/telemetry/_logs.py
@@ -6,12 +6,16 @@
 import logging
 import sys
 import time
-from typing import Final
+import traceback
+from typing import TYPE_CHECKING, Final
 
 import structlog
 
 from burdockledge.telemetry._lines import LineWriter
 
+if TYPE_CHECKING:
+    from types import TracebackType
+
 Logger = structlog.typing.FilteringBoundLogger
 
 _LEVELS: Final = {
@@ -22,6 +26,7 @@
 }
 _MS_PER_SECOND: Final = 1000
 _MAX_LIBRARY_MESSAGE_CHARACTERS: Final = 300
+_LOGGED_FRAMES: Final = 5
 
 # Writers of all calls of configure_logs; the last one is in use.
 _writers: list[LineWriter] = []
@@ -62,14 +67,28 @@
     """Forwards the log records of libraries to structlog."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Log a record as a warning, with the repr of its exception."""
-        error = record.exc_info[1] if record.exc_info else None
+        """Log a record as a warning, with where its exception was raised."""
+        _, error, frames = record.exc_info or (None, None, None)
         make_logger(record.name).warning(
             record.getMessage()[:_MAX_LIBRARY_MESSAGE_CHARACTERS],
-            error=None if error is None else repr(error),
+            error=None
+            if error is None
+            else repr(error)[:_MAX_LIBRARY_MESSAGE_CHARACTERS],
+            raised_at=_describe_frames(frames),
         )
 
 
+def _describe_frames(frames: TracebackType | None) -> str | None:
+    """Return the innermost functions and lines of a traceback."""
+    if frames is None:
+        return None
+    places = [
+        f'{frame.f_code.co_name}:{line}'
+        for frame, line in traceback.walk_tb(frames)
+    ]
+    return ' < '.join(reversed(places[-_LOGGED_FRAMES:]))
+
+
 def configure_logs(level: str, host: str) -> None:
     """
     Set up logging to standard output for this process.
