Read server entries with a parser that limits nesting

Cause: strip_heartbeat parsed entries of other writers with json.loads, which raises RecursionError, no ValueError, for nested brackets. The error ended StoreReader._read_forever on every host.

Change: the entry is read with the parser of the models, which reports nesting as a validation error; the decoder then leaves the entry out. Whatever that parser can't read names no server anyway, so nothing else changes.

--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -8,9 +8,16 @@
 from __future__ import annotations
 
 import json
-from typing import Annotated, Final, Literal
-
-from pydantic import BaseModel, ConfigDict, Field, StrictInt, ValidationError
+from typing import Annotated, Any, Final, Literal
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    TypeAdapter,
+    ValidationError,
+)
 
 from burdockledge.calls import (
     CallerLimits,
@@ -39,6 +46,7 @@
 _DEFAULT_TIER: Final = 5
 # Fields that change with every heartbeat but do not affect routing.
 _HEARTBEAT_FIELDS: Final = ('seq', 'cold_remaining_ms')
+_ANY_JSON: Final[TypeAdapter[Any]] = TypeAdapter(Any)
 
 
 class _Model(BaseModel):
@@ -182,9 +190,11 @@
     This way, a heartbeat alone does not count as a change of the record.
     """
     try:
-        record = json.loads(content)
-    except ValueError:
-        # Records that are not JSON stay as they are; the decoder logs them.
+        # The parser of the models: unlike json.loads, it limits the depth of
+        # nesting by an error of its own.
+        record = _ANY_JSON.validate_json(content)
+    except ValidationError:
+        # Other records stay as they are; the decoder logs them.
         return content
     if not isinstance(record, dict):
         return content
--- /dev/null
+++ b/tests/platform_adapter/test_odd_records.py
@@ -0,0 +1,148 @@
+"""Records of other writers reach neither servers nor the tasks that read."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+from typing import Any, Final
+
+import pytest
+
+from burdockledge.clock import SystemClock
+from burdockledge.fakes import FakeDatagramSocket, FakeNetwork
+from burdockledge.peers import PeerKeys
+from burdockledge.platform import PlatformDecoder, StoreClient
+from burdockledge.registry import ServerRegistry
+from burdockledge.relay import (
+    STREAMS,
+    ReplicatedRoutingState,
+    RetryBudgetSettings,
+)
+from burdockledge.replication import GossipExchange, Peer
+from tests.platform_adapter.standin_store import StandInStore
+from tests.platform_adapter.test_documents import (
+    CONFIGURATION_RECORD,
+    SERVER_RECORD,
+)
+from tests.platform_adapter.test_store import run_with_store
+
+SERVICE: Final = SERVER_RECORD['backend']
+SOUND: Final = json.dumps(SERVER_RECORD).encode()
+# Deeper than any JSON parser follows.
+DEPTH: Final = 4000
+
+
+def nested_in(record: dict[str, Any]) -> bytes:
+    """Return a record with one more field, of nested lists."""
+    nested = b'[' * DEPTH + b']' * DEPTH
+    return json.dumps(record).encode()[:-1] + b', "more": ' + nested + b'}'
+
+
+NESTED: Final = {
+    'unclosed lists': b'[' * DEPTH,
+    'unclosed objects': b'{"a":' * DEPTH,
+    'a whole record of unclosed lists': b'[' * 262_000,
+    'nested lists in a sound entry': nested_in(SERVER_RECORD),
+}
+ODD_SERVERS: Final = NESTED
+
+
+class RecordPath:
+    """The way of a record from the store to the routing state of a host."""
+
+    def __init__(self) -> None:
+        """Create the state of a host with one peer, which hears its gossip."""
+        clock = SystemClock()
+        self.registry = ServerRegistry()
+        self.exchange = GossipExchange(
+            Peer('own', 'dc', 'own:1'),
+            STREAMS,
+            FakeDatagramSocket(FakeNetwork(), 'own:1'),
+            PeerKeys(('a key of sixteen characters',), None),
+            clock,
+            Random(1),
+        )
+        self.exchange.peers.replace([Peer('other', 'dc', 'other:1')])
+        self.state = ReplicatedRoutingState(
+            'own',
+            'dc',
+            PlatformDecoder(),
+            self.registry,
+            self.exchange,
+            RetryBudgetSettings(0.2, 10, 10),
+            clock,
+            Random(1),
+        )
+
+    async def read(self, client: StoreClient) -> None:
+        """Read both streams and apply what is new, as a host does."""
+        for stream in STREAMS:
+            position = self.exchange.state(stream).position
+            update = (await client.read(stream, position)).unwrap()
+            self.exchange.publish(update)
+
+    def servers(self) -> list[str]:
+        """Return the ids of the servers that may get calls."""
+        instances = self.registry.ready_instances(SERVICE, 0)
+        return sorted(instance.server_id for instance in instances)
+
+
+def versioned(version: int) -> bytes:
+    """Return a configuration record."""
+    return json.dumps({**CONFIGURATION_RECORD, 'version': version}).encode()
+
+
+@pytest.mark.parametrize('name', ODD_SERVERS)
+def test_an_odd_server_entry_does_not_end_the_reading_of_the_store(
+    name: str,
+) -> None:
+    """Guards against review/1: hosts stayed on the older configuration."""
+    store = StandInStore(
+        {
+            'keyed.op': [('config', versioned(1))],
+            'keyed.servers': [('i-1', SOUND)],
+        }
+    )
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        store.topics['keyed.servers'] += [
+            ('i-odd', ODD_SERVERS[name]),
+            ('i-2', SOUND),
+        ]
+        store.topics['keyed.op'].append(('config', versioned(2)))
+        await path.read(client)
+        restarted = RecordPath()
+        await restarted.read(client)
+        for each in (path, restarted):
+            assert each.servers() == ['i-1', 'i-2']
+            routes = each.state.routes()
+            assert routes is not None
+            assert routes.document.version == 2
+
+    run_with_store(store, test)
+
+
+@pytest.mark.parametrize('name', NESTED)
+def test_an_odd_configuration_leaves_the_last_one_in_force(name: str) -> None:
+    """Guards against a reader that ends at a record of the operator."""
+    store = StandInStore(
+        {'keyed.op': [('config', versioned(1))], 'keyed.servers': []}
+    )
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        store.topics['keyed.op'].append(('config', NESTED[name]))
+        await path.read(client)
+        routes = path.state.routes()
+        assert routes is not None
+        assert routes.document.version == 1
+        store.topics['keyed.op'].append(('config', versioned(2)))
+        await path.read(client)
+        routes = path.state.routes()
+        assert routes is not None
+        assert routes.document.version == 2
+
+    run_with_store(store, test)
