Start duties again that fail

Cause: a background task that raises was logged and dropped. 13 methods in 10 services must not end: reading the store, registration, gossip, probes, kept evidence, reload of settings, and in 'serve' the log's followers, leases, claims and the host list.

Change: TaskGroupService.supervise starts a duty again after 0.1 s, doubled up to 2 s, with a log line and a count each time; the count is the gauge task_failures. The reload of settings becomes such a service. A document of a peer that nests too deeply counts as invalid in 'serve'.

--- a/src/burdockledge/claims/_service.py
+++ b/src/burdockledge/claims/_service.py
@@ -147,8 +147,8 @@
 
     async def start(self) -> None:
         """Follow the log and append in batches."""
-        self.spawn(self._follow())
-        self.spawn(self._append_forever())
+        self.supervise(self._follow)
+        self.supervise(self._append_forever)
 
     async def stop(self) -> None:
         """Wait a limited time for queued entries to be appended, then stop."""
--- a/src/burdockledge/cli/_host.py
+++ b/src/burdockledge/cli/_host.py
@@ -14,7 +14,7 @@
     print_error,
     run_async,
 )
-from burdockledge.host import file_modified_ns, serve_host
+from burdockledge.host import serve_host
 from burdockledge.peers import PeerKeys, PeerKeysError
 from burdockledge.platform import load_host_settings
 from burdockledge.settings import (
@@ -22,6 +22,7 @@
     CommandSettings,
     RelayHostSettings,
 )
+from burdockledge.settings_watcher import file_modified_ns
 from burdockledge.telemetry import configure_logs
 
 
--- a/src/burdockledge/configuration/_service.py
+++ b/src/burdockledge/configuration/_service.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from pydantic import ValidationError
 from result import Err, Ok, Result
 
 from burdockledge.configuration._bootstrap import Bootstrap
@@ -110,7 +109,7 @@
         self._bus.subscribe(ConfigurationState, self._on_state)
         self._membership.configuration_offset = lambda: self.offset
         self._membership.on_configuration_offset = self._on_peer_offset
-        self.spawn(self._follow_log())
+        self.supervise(self._follow_log)
 
     async def wait_ready(self) -> None:
         """Wait until a state is known."""
@@ -331,7 +330,7 @@
         try:
             raw = json.loads(peer_state.document)
             document = Document.model_validate(raw)
-        except (ValueError, ValidationError):
+        except (ValueError, RecursionError):
             _log.warning('Peer sent an invalid document.', peer=sender)
             return
         self._install(
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
-from result import Err
 
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
@@ -23,7 +22,6 @@
     PartEndpoint,
     PlatformDecoder,
     StoreClient,
-    load_host_settings,
 )
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
@@ -39,6 +37,7 @@
     ReadSchedule,
     StoreReader,
 )
+from burdockledge.settings_watcher import SettingsWatcher
 from burdockledge.telemetry import (
     Metrics,
     TimeLine,
@@ -71,7 +70,6 @@
 _DRAIN_POLL_SECONDS: Final = 0.1
 _MAX_TIME_LINE_EVENTS: Final = 1000
 _MS_PER_SECOND: Final = 1000
-_SETTINGS_POLL_SECONDS: Final = 1.0
 # Settings that are only read at the start; a change needs a restart.
 _RESTART_SETTINGS: Final = (
     'host',
@@ -285,6 +283,17 @@
         metrics.set_gauge_function(
             'log_lines_left_out', unreported_dropped_lines
         )
+        for service in (
+            self.membership,
+            self.exchange,
+            self.store_reader,
+            self.evidence_keeper,
+        ):
+            metrics.set_gauge_function(
+                'task_failures',
+                partial(getattr, service, 'task_failures'),
+                service=service.name,
+            )
         for stream in STREAMS:
             metrics.set_gauge_function(
                 'knowledge_age_seconds',
@@ -366,69 +375,29 @@
         ``settings`` were read from it.
     """
     async with aiohttp.ClientSession() as session:
-        await _run(
-            RelayHost(settings, keys, session),
-            settings_path,
-            settings_modified_ns,
+        host = RelayHost(settings, keys, session)
+        watcher = SettingsWatcher(
+            settings_path, settings_modified_ns, host.apply_settings
+        )
+        host.kernel.register(watcher)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, watcher.reload_requested.set
         )
+        await _run(host)
 
 
-async def _run(
-    host: RelayHost, settings_path: Path, settings_modified_ns: int
-) -> None:
-    loop = asyncio.get_running_loop()
+async def _run(host: RelayHost) -> None:
     stop_requested = asyncio.Event()
     on_stop_signal(stop_requested.set)
-    reload_requested = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     await host.start()
     _log.info('Started.', data_centre=host.settings.data_centre)
-    reloader = loop.create_task(
-        _reload_settings_forever(
-            host, settings_path, settings_modified_ns, reload_requested
-        )
-    )
     await stop_requested.wait()
     _log.info('Stopping.', in_flight=host.relay.in_flight)
     await host.drain()
-    reloader.cancel()
     await host.stop()
     _log.info('Stopped.', in_flight=host.relay.in_flight)
 
 
-async def _reload_settings_forever(
-    host: RelayHost,
-    settings_path: Path,
-    settings_modified_ns: int,
-    reload_requested: asyncio.Event,
-) -> None:
-    """Reload the settings on SIGHUP or when their file has changed."""
-    loaded_modified_ns = settings_modified_ns
-    while True:
-        try:
-            async with asyncio.timeout(_SETTINGS_POLL_SECONDS):
-                await reload_requested.wait()
-        except TimeoutError:
-            if file_modified_ns(settings_path) == loaded_modified_ns:
-                continue
-        reload_requested.clear()
-        loaded_modified_ns = file_modified_ns(settings_path)
-        loaded = load_host_settings(settings_path)
-        if isinstance(loaded, Err):
-            _log.warning('Settings are not reloaded.', why=loaded.err_value)
-            continue
-        host.apply_settings(loaded.ok_value)
-
-
-def file_modified_ns(path: Path) -> int:
-    """Return the modification time of a file, 0 if it can not be read."""
-    try:
-        return path.stat().st_mtime_ns
-    except OSError:
-        # The file may be about to be replaced; the next poll tries again.
-        return 0
-
-
 def _retry_budget_settings(settings: RelayHostSettings) -> RetryBudgetSettings:
     return RetryBudgetSettings(
         settings.retry_ratio,
@@ -448,4 +417,4 @@
     return f'{address.rpartition(":")[0]}:{port}'
 
 
-__all__ = ('RelayHost', 'file_modified_ns', 'serve_host')
+__all__ = ('RelayHost', 'serve_host')
--- a/src/burdockledge/kernel/__init__.py
+++ b/src/burdockledge/kernel/__init__.py
@@ -5,6 +5,17 @@
 from burdockledge.kernel._kernel import Kernel
 from burdockledge.kernel._service import Service
 from burdockledge.kernel._signals import on_stop_signal
-from burdockledge.kernel._tasks import TaskGroupService
+from burdockledge.kernel._tasks import (
+    MAX_RESTART_SECONDS,
+    MIN_RESTART_SECONDS,
+    TaskGroupService,
+)
 
-__all__ = ('Kernel', 'Service', 'TaskGroupService', 'on_stop_signal')
+__all__ = (
+    'MAX_RESTART_SECONDS',
+    'MIN_RESTART_SECONDS',
+    'Kernel',
+    'Service',
+    'TaskGroupService',
+    'on_stop_signal',
+)
--- a/src/burdockledge/membership/_service.py
+++ b/src/burdockledge/membership/_service.py
@@ -135,7 +135,7 @@
     async def start(self) -> None:
         """Open the socket and start to probe."""
         await self._socket.open(self._receive)
-        self.spawn(self._probe_forever())
+        self.supervise(self._probe_forever)
 
     async def stop(self) -> None:
         """Stop probing and close the socket."""
--- a/src/burdockledge/placement/_broker.py
+++ b/src/burdockledge/placement/_broker.py
@@ -146,7 +146,7 @@
         self._bus.subscribe(Yield, self._on_yield)
         self._bus.subscribe_link_down(self._on_link_down)
         self._membership.subscribe(self._on_membership_change)
-        self.spawn(self._renew_forever())
+        self.supervise(self._renew_forever)
 
     async def acquire(self, request: SlotRequest) -> Result[Slot, NoSlot]:
         """
--- a/src/burdockledge/placement/_scheduler_service.py
+++ b/src/burdockledge/placement/_scheduler_service.py
@@ -56,7 +56,7 @@
         self._bus.subscribe(Release, self._on_release)
         self._configuration.subscribe(self._on_configuration_change)
         self._membership.subscribe(self._on_membership_change)
-        self.spawn(self._expire_forever())
+        self.supervise(self._expire_forever)
 
     def _on_offer(self, sender: str, offer: Offer) -> None:
         scheduler = self._scheduler(offer.server)
--- a/src/burdockledge/placement/_servers.py
+++ b/src/burdockledge/placement/_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -52,7 +53,7 @@
     async def start(self) -> None:
         """Start to poll the platform's host list."""
         if self._host_list_client is not None:
-            self.spawn(self._poll(self._host_list_client))
+            self.supervise(partial(self._poll, self._host_list_client))
 
     def get(self, name: str) -> BackendServer | None:
         """Return a server of the configuration, or None if it is unknown."""
--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -64,7 +64,7 @@
 
     async def start(self) -> None:
         """Start to read, and then to write."""
-        self.spawn(self._keep_forever())
+        self.supervise(self._keep_forever)
 
     async def _keep_forever(self) -> None:
         while not await self._load():
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -105,8 +105,8 @@
     async def start(self) -> None:
         """Open the socket and start to pull all streams from other hosts."""
         await self._socket.open(self._receive)
-        self.spawn(self._pull_missing_forever())
-        self.spawn(self._anti_entropy_forever())
+        self.supervise(self._pull_missing_forever)
+        self.supervise(self._anti_entropy_forever)
 
     async def stop(self) -> None:
         """Send the pending call events and close the socket."""
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -74,8 +74,8 @@
         """Start to read the streams and to register this host."""
         first_wait = self._random.uniform(0.2, 1) * _STARTUP_WAIT_SECONDS
         self._first_read_at = self._clock.monotonic() + first_wait
-        self.spawn(self._read_forever())
-        self.spawn(self._register_and_list_hosts())
+        self.supervise(self._read_forever)
+        self.supervise(self._register_and_list_hosts)
 
     async def _read_forever(self) -> None:
         while True:
--- a/tests/replication/hosts.py
+++ b/tests/replication/hosts.py
@@ -36,6 +36,8 @@
     records: list[StreamEntry] = field(default_factory=list)
     refused_hosts: set[str] = field(default_factory=set)
     is_down: bool = False
+    # Raised by the next read, as by bytes that nobody expected.
+    next_error: Exception | None = None
     read_count: int = 0
     kept: dict[str, bytes] = field(default_factory=dict)
     kept_writes: int = 0
@@ -59,6 +61,9 @@
         """Read the stream, with a delay of 4 ms for the round trip."""
         self._store.read_count += 1
         await asyncio.sleep(0.004)
+        error, self._store.next_error = self._store.next_error, None
+        if error is not None:
+            raise error
         if self._store.is_down or self._host in self._store.refused_hosts:
             return Err(SourceFailure.unavailable)
         end = len(self._store.records)
--- a/tests/replication/test_exchange.py
+++ b/tests/replication/test_exchange.py
@@ -57,6 +57,24 @@
     cluster.run(scenario)
 
 
+@pytest.mark.parametrize('hosts', [1, 9])
+def test_a_read_that_raises_does_not_end_the_reading(hosts: int) -> None:
+    """Guards against hosts that stay on old records for good (review/1)."""
+    cluster = SimulatedCluster(hosts)
+    cluster.store.write('first', b'1')
+
+    async def scenario() -> None:
+        await cluster.wait_for('first')
+        for _ in range(hosts):
+            cluster.store.next_error = RecursionError('too deep')
+            await asyncio.sleep(1.5)
+            assert cluster.store.next_error is None
+        cluster.store.write('news', b'2')
+        assert await cluster.wait_for('news') < PROPAGATION_LIMIT_SECONDS
+
+    cluster.run(scenario)
+
+
 def test_next_host_reads_after_reader_is_killed() -> None:
     """After the host that reads is killed, another one reads in time."""
     cluster = SimulatedCluster(9)
