Keep the datagram socket open at odd addresses

Callers would see hosts that serve by old news: without its socket a host neither gossips nor probes.

Addresses of peers come from the settings, the topic of hosts and other hosts. A port out of range makes the event loop close the socket for good ('Fatal write error on datagram transport', OverflowError); an address without a port raised ValueError out of the loop that probes.

Change: an address is parsed once, into an IP address and a port in range; one that is neither is logged once and gets no datagrams. Names are no longer looked up in the event loop.

--- a/src/burdockledge/membership/_datagrams.py
+++ b/src/burdockledge/membership/_datagrams.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from functools import lru_cache
+from typing import Final
+
+from burdockledge.telemetry import make_logger
 
 DatagramHandler = Callable[[bytes, str], None]
 
+_log = make_logger('datagrams')
+
+_MAX_PORT: Final = 65_535
+# Far more than the addresses that one host sends to.
+_MAX_PARSED_ADDRESSES: Final = 4096
+
 
 class DatagramSocket(ABC):
     """Sends and receives datagrams; addresses have the form ``IP:port``."""
@@ -50,14 +61,21 @@
         loop = asyncio.get_running_loop()
         endpoint = await loop.create_datagram_endpoint(
             lambda: _Protocol(handler),
-            local_addr=_split_address(self._listen_address),
+            local_addr=_parse_address(self._listen_address),
         )
         self._transport = endpoint[0]
 
     def send(self, address: str, datagram: bytes) -> None:
-        """Send a datagram; drop it while the socket is closed."""
-        if self._transport is not None:
-            self._transport.sendto(datagram, _split_address(address))
+        """
+        Send a datagram.
+
+        It is dropped while the socket is closed, and if the address is no IP
+        address and port: the event loop would close the socket at such an
+        address, or look up its name.
+        """
+        target = _parse_address(address)
+        if self._transport is not None and target is not None:
+            self._transport.sendto(datagram, target)
 
     def close(self) -> None:
         """Close the socket."""
@@ -66,9 +84,19 @@
             self._transport = None
 
 
-def _split_address(address: str) -> tuple[str, int]:
-    ip, _, port = address.rpartition(':')
-    return ip.strip('[]'), int(port)
+@lru_cache(maxsize=_MAX_PARSED_ADDRESSES)
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Return the IP address and the port; log an invalid address once."""
+    host, _, port = address.rpartition(':')
+    try:
+        ip = ipaddress.ip_address(host.strip('[]'))
+        is_valid = 0 <= int(port) <= _MAX_PORT
+    except ValueError:
+        is_valid = False
+    if is_valid:
+        return str(ip), int(port)
+    _log.warning('Address is left out.', address=address)
+    return None
 
 
 __all__ = ('DatagramSocket', 'DatagramHandler', 'UdpSocket')
