Skip records of the store that can not be read, one by one

Callers would see hosts that stay on old news, or that never get ready.

A value in bad base64 raised out of StoreClient.read and ended the reading task; a record of no bytes made the whole read unreadable, at every later try too; a record whose key is cut, or is no text, named a server or removed one; one odd item made a page of the newest records unreadable; nested brackets in the record of a host ended its registration, and an address without a sound port reached the sockets.

Change: the decoding moves into _store_records.py. Each record is read by itself; one that can't be is logged with its topic and left out, its offset counts. Addresses in settings and records need an IP address and a port up to 65535.

--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-import base64
-import json
-import struct
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 import aiohttp
-from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
 from burdockledge.platform import _names as names
 from burdockledge.platform._documents import strip_heartbeat
+from burdockledge.platform._store_records import (
+    NewestPage,
+    StoreRecordsError,
+    decode_host_address,
+    decode_newest_page,
+    decode_tail,
+    encode_host_address,
+    encode_record,
+)
 from burdockledge.relay import CONFIGURATION_STREAM, SERVERS_STREAM
 from burdockledge.replication import RecordSource, SourceFailure
 from burdockledge.wire import StreamEntry, StreamUpdate
@@ -28,31 +33,12 @@
 _GONE: Final = 410
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 _MS_PER_SECOND: Final = 1000
-# Start of the response to a read: end offset and first kept offset of a topic.
-_READ_HEADER: Final = struct.Struct('>QQ')
-# Length in bytes, before each record.
-_RECORD_LENGTH: Final = struct.Struct('>I')
 _TOPIC_BY_STREAM: Final = {
     CONFIGURATION_STREAM: names.CONFIGURATION_TOPIC,
     SERVERS_STREAM: names.SERVERS_TOPIC,
 }
 
 
-class _NewestRecord(BaseModel):
-    key: str
-    # In base64.
-    value: str
-    offset: int
-
-
-class _NewestPage(BaseModel):
-    items: tuple[_NewestRecord, ...] = ()
-    # Whether more keys follow the last one.
-    has_more: bool = False
-    # Offset after the newest record of the topic.
-    end: int
-
-
 class _StoreError(Exception):
     """A call to the store that failed."""
 
@@ -108,8 +94,9 @@
 
         :return: whether the store accepted the record.
         """
-        content = json.dumps({'address': peer_address}).encode()
-        return await self._append(names.HOSTS_TOPIC, host, content)
+        return await self._append(
+            names.HOSTS_TOPIC, host, encode_host_address(peer_address)
+        )
 
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
         """Return the peer address of each host ever registered, by name."""
@@ -117,13 +104,12 @@
             pages = await self._read_newest_pages(names.HOSTS_TOPIC)
         except _StoreError as error:
             return Err(error.failure)
-        addresses: dict[str, str] = {}
-        for page in pages:
-            for item in page.items:
-                address = _decode_address(item.value)
-                if address is not None:
-                    addresses[item.key] = address
-        return Ok(addresses)
+        addresses = {
+            entry.key: decode_host_address(entry.content or b'')
+            for page in pages
+            for entry in page.entries
+        }
+        return Ok({host: one for host, one in addresses.items() if one})
 
     async def write_kept(self, key: str, content: bytes | None) -> bool:
         """
@@ -141,23 +127,18 @@
             return Err(error.failure)
         return Ok(
             {
-                item.key: base64.b64decode(item.value)
+                entry.key: entry.content or b''
                 for page in pages
-                for item in page.items
+                for entry in page.entries
             }
         )
 
     async def _append(self, topic: str, key: str, content: bytes) -> bool:
         """Append a record; return whether the store accepted it."""
-        encoded_key = key.encode()
-        record = bytes((len(encoded_key),)) + encoded_key + content
         query = {'topic': topic, 'part': '0'}
         try:
             status, _ = await self._call(
-                'POST',
-                names.APPEND_PATH,
-                query,
-                _RECORD_LENGTH.pack(len(record)) + record,
+                'POST', names.APPEND_PATH, query, encode_record(key, content)
             )
         except _StoreError:
             return False
@@ -173,8 +154,8 @@
             return None
         _require_ok(status)
         try:
-            end, entries = _decode_records(body, position)
-        except (struct.error, IndexError, UnicodeDecodeError) as error:
+            end, entries = decode_tail(topic, body, position)
+        except StoreRecordsError as error:
             raise _StoreError(SourceFailure.unreadable) from error
         return StreamUpdate(
             stream, position, end, 0, _strip_heartbeats(stream, entries), False
@@ -182,11 +163,7 @@
 
     async def _read_newest(self, stream: str, topic: str) -> StreamUpdate:
         pages = await self._read_newest_pages(topic)
-        entries = [
-            StreamEntry(item.key, item.offset, base64.b64decode(item.value))
-            for page in pages
-            for item in page.items
-        ]
+        entries = tuple(entry for page in pages for entry in page.entries)
         # Pages may differ in age: the next read starts at the end offset of the
         # first page, and repeats records that later pages already contain.
         end = pages[0].end
@@ -194,22 +171,22 @@
             stream, 0, end, 0, _strip_heartbeats(stream, entries), True
         )
 
-    async def _read_newest_pages(self, topic: str) -> list[_NewestPage]:
-        pages: list[_NewestPage] = []
+    async def _read_newest_pages(self, topic: str) -> list[NewestPage]:
+        pages: list[NewestPage] = []
         query = {'topic': topic, 'part': '0'}
         while True:
             status, body = await self._call('GET', names.NEWEST_PATH, query)
             if status == _NOT_FOUND:
-                return [_NewestPage(end=0)]
+                return [NewestPage((), 0)]
             _require_ok(status)
             try:
-                page = _NewestPage.model_validate_json(body)
-            except ValidationError as error:
+                page = decode_newest_page(topic, body)
+            except StoreRecordsError as error:
                 raise _StoreError(SourceFailure.unreadable) from error
             pages.append(page)
-            if not page.has_more or not page.items:
+            if page.next_after is None:
                 return pages
-            query['after'] = page.items[-1].key
+            query['after'] = page.next_after
 
     async def _call(
         self,
@@ -239,43 +216,11 @@
         raise _StoreError(SourceFailure.unreadable)
 
 
-def _decode_records(body: bytes, start: int) -> tuple[int, list[StreamEntry]]:
-    """
-    Decode the response to a read.
-
-    :param start: offset of the first record.
-    :return: the offset to read from next, and the records.
-    """
-    end, _ = _READ_HEADER.unpack_from(body)
-    entries: list[StreamEntry] = []
-    cursor = _READ_HEADER.size
-    while cursor < len(body):
-        length = _RECORD_LENGTH.unpack_from(body, cursor)[0]
-        cursor += _RECORD_LENGTH.size
-        record = body[cursor : cursor + length]
-        if len(record) < length:
-            # The store cut the response at its size limit; the next read
-            # returns the rest.
-            break
-        cursor += length
-        offset = start + len(entries)
-        key_end = 1 + record[0]
-        content = record[key_end:]
-        entries.append(
-            StreamEntry(
-                record[1:key_end].decode('utf-8', 'replace'),
-                offset,
-                content or None,
-            ),
-        )
-    return min(end, start + len(entries)), entries
-
-
 def _strip_heartbeats(
-    stream: str, entries: list[StreamEntry]
+    stream: str, entries: tuple[StreamEntry, ...]
 ) -> tuple[StreamEntry, ...]:
     if stream != SERVERS_STREAM:
-        return tuple(entries)
+        return entries
     return tuple(
         StreamEntry(
             entry.key,
@@ -286,13 +231,4 @@
     )
 
 
-def _decode_address(encoded: str) -> str | None:
-    try:
-        document: Any = json.loads(base64.b64decode(encoded))
-    except ValueError:
-        return None
-    address = document.get('address') if isinstance(document, dict) else None
-    return address if isinstance(address, str) else None
-
-
 __all__ = ('StoreClient',)
--- a/src/burdockledge/settings/_models.py
+++ b/src/burdockledge/settings/_models.py
@@ -1,10 +1,12 @@
 """The settings models of entry hosts, validated at start-up."""
 
+import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, ClassVar, Self
+from typing import Annotated, ClassVar, Final, Self
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     BeforeValidator,
     ConfigDict,
@@ -12,6 +14,8 @@
     model_validator,
 )
 
+MAX_PORT: Final = 65_535
+
 
 def _split_commas(raw: object) -> object:
     if isinstance(raw, str):
@@ -19,8 +23,21 @@
     return raw
 
 
+def _check_address(address: str) -> str:
+    """Raise ValueError for an address that no socket takes."""
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    if int(port) > MAX_PORT:
+        raise ValueError(f'the port is above {MAX_PORT}')
+    return address
+
+
 CommaList = Annotated[tuple[str, ...], BeforeValidator(_split_commas)]
-Address = Annotated[str, Field(pattern=r'^[0-9a-fA-F.:\[\]]+:\d{1,5}$')]
+Address = Annotated[
+    str,
+    Field(pattern=r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$'),
+    AfterValidator(_check_address),
+]
 Url = Annotated[str, Field(pattern=r'^https?://[^/]+(/.*)?$')]
 
 
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -16,13 +16,17 @@
 
     ``topics`` holds the key and content of each record, in order;
     ``first_offsets`` the first offset that a read may start from, by topic;
-    ``next_statuses`` the error statuses of the next calls.
+    ``next_statuses`` the error statuses of the next calls. ``raw_records``
+    and ``raw_items`` replace records, by topic and offset, as they are sent
+    by the two ways of reading.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
     first_offsets: dict[str, int] = field(default_factory=dict)
     next_statuses: list[int] = field(default_factory=list)
     page_size: int = 500
+    raw_records: dict[tuple[str, int], bytes] = field(default_factory=dict)
+    raw_items: dict[tuple[str, int], object] = field(default_factory=dict)
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Respond to one call."""
@@ -53,8 +57,9 @@
         if start < first_offset:
             return web.json_response({'first': first_offset}, status=410)
         body = struct.pack('>QQ', len(records), first_offset)
-        for key, content in records[start:]:
+        for offset, (key, content) in enumerate(records[start:], start):
             record = bytes((len(key),)) + key.encode() + content
+            record = self.raw_records.get((topic, offset), record)
             body += struct.pack('>I', len(record)) + record
         return web.Response(body=body)
 
@@ -64,11 +69,14 @@
             newest[key] = (offset, content)
         keys = sorted(key for key in newest if key > after and newest[key][1])
         items = [
-            {
-                'key': key,
-                'value': base64.b64encode(newest[key][1]).decode(),
-                'offset': newest[key][0],
-            }
+            self.raw_items.get(
+                (topic, newest[key][0]),
+                {
+                    'key': key,
+                    'value': base64.b64encode(newest[key][1]).decode(),
+                    'offset': newest[key][0],
+                },
+            )
             for key in keys[: self.page_size]
         ]
         return web.json_response(
--- a/tests/platform_adapter/test_odd_records.py
+++ b/tests/platform_adapter/test_odd_records.py
@@ -7,13 +7,16 @@
 from typing import Any, Final
 
 import pytest
+from result import Ok
 
 from burdockledge.clock import SystemClock
 from burdockledge.fakes import FakeDatagramSocket, FakeNetwork
 from burdockledge.peers import PeerKeys
 from burdockledge.platform import PlatformDecoder, StoreClient
+from burdockledge.platform import _names as names
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
+    SERVERS_STREAM,
     STREAMS,
     ReplicatedRoutingState,
     RetryBudgetSettings,
@@ -124,6 +127,93 @@
     run_with_store(store, test)
 
 
+ODD_FRAMES: Final = {
+    'no bytes': b'',
+    'a key longer than the record': b'\xffi-1',
+    'a key that is no text': b'\x02\xff\xfe' + SOUND,
+    'an empty key': b'\x00' + SOUND,
+}
+ODD_ITEMS: Final = {
+    'a value that is no base64': {'key': 'i-x', 'value': 'x', 'offset': 1},
+    'a value that is no text': {'key': 'i-x', 'value': 5, 'offset': 1},
+    'no value': {'key': 'i-x', 'offset': 1},
+    'no key': {'value': '', 'offset': 1},
+    'an offset out of range': {'key': 'i-x', 'value': '', 'offset': 2**64},
+    'no object': [],
+}
+
+
+@pytest.mark.parametrize('name', ODD_FRAMES)
+def test_an_odd_record_does_not_hide_those_after_it(name: str) -> None:
+    """Guards against a host that reads no server entry any more."""
+    store = StandInStore(
+        {
+            'keyed.op': [('config', versioned(1))],
+            'keyed.servers': [('i-1', SOUND)],
+        }
+    )
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        store.topics['keyed.servers'] += [('i-x', b'x'), ('i-2', SOUND)]
+        store.raw_records['keyed.servers', 1] = ODD_FRAMES[name]
+        await path.read(client)
+        assert path.servers() == ['i-1', 'i-2']
+        assert path.exchange.state(SERVERS_STREAM).position == 3
+
+    run_with_store(store, test)
+
+
+@pytest.mark.parametrize('name', ODD_ITEMS)
+def test_an_odd_newest_record_does_not_hide_the_others(name: str) -> None:
+    """Guards against a restarted host that never gets ready."""
+    records = [('i-1', SOUND), ('i-x', b'x'), ('i-2', SOUND)]
+    store = StandInStore(
+        {'keyed.op': [('config', versioned(1))], 'keyed.servers': records}
+    )
+    store.raw_items['keyed.servers', 1] = ODD_ITEMS[name]
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        assert path.servers() == ['i-1', 'i-2']
+
+    run_with_store(store, test)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        *NESTED.values(),
+        b'{"address": "10.0.0.1:99999"}',
+        b'{"address": "nonsense"}',
+        b'{"address": 5}',
+        b'\xff',
+    ],
+)
+def test_an_odd_host_record_names_no_peer(content: bytes) -> None:
+    """Guards against a host that ends its registration at such a record."""
+    sound = b'{"address": "10.0.0.2:7340"}'
+    store = StandInStore({names.HOSTS_TOPIC: [('x', content), ('h', sound)]})
+
+    async def test(client: StoreClient) -> None:
+        assert await client.registered_hosts() == Ok({'h': '10.0.0.2:7340'})
+
+    run_with_store(store, test)
+
+
+def test_an_odd_kept_record_is_left_out() -> None:
+    """Guards against evidence that no host reads any more."""
+    store = StandInStore({names.KEPT_TOPIC: [('1', b'x'), ('2', b'sound')]})
+    store.raw_items[names.KEPT_TOPIC, 0] = ODD_ITEMS['no value']
+
+    async def test(client: StoreClient) -> None:
+        assert await client.read_kept() == Ok({'2': b'sound'})
+
+    run_with_store(store, test)
+
+
 @pytest.mark.parametrize('name', NESTED)
 def test_an_odd_configuration_leaves_the_last_one_in_force(name: str) -> None:
     """Guards against a reader that ends at a record of the operator."""
