Use no server whose entry has values out of range

Callers would get an error of the host for each call placed at such a server: a port above 65535 raised ValueError as the call was sent; an address such as 10.0.0.256 was looked up as a name and its failure counted as 'may have run'.

Cause: the entry was checked for types, not for ranges. The pattern of the address took digits of any script.

--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from typing import Annotated, Any, Final, Literal
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
@@ -33,6 +35,7 @@
 from burdockledge.platform import _names as names
 from burdockledge.registry import Registration, ServerState
 from burdockledge.relay import RecordDecoder
+from burdockledge.settings import MAX_PORT
 from burdockledge.telemetry import make_logger
 
 _log = make_logger('platform')
@@ -46,6 +49,9 @@
 _DEFAULT_TIER: Final = 5
 # Fields that change with every heartbeat but do not affect routing.
 _HEARTBEAT_FIELDS: Final = ('seq', 'cold_remaining_ms')
+# Bounds of the integers in the messages of the hosts.
+_MAX_INT32: Final = (1 << 31) - 1
+_MAX_INT64: Final = (1 << 63) - 1
 _ANY_JSON: Final[TypeAdapter[Any]] = TypeAdapter(Any)
 
 
@@ -109,17 +115,32 @@
     limits: _Limits = _Limits()
 
 
+def _check_server_address(address: str) -> str:
+    """Raise ValueError for an address to which no call can be sent."""
+    ip, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(ip)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'the port is not between 1 and {MAX_PORT}')
+    return address
+
+
 class _Server(_Model):
     model_config = ConfigDict(frozen=True, strict=True)
 
+    # The key of the record, which calls carry in a header.
+    server_id: Annotated[str, Field(pattern='^[!-~]+$')]
     backend: str
-    address: Annotated[str, Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')]
+    address: Annotated[
+        str,
+        Field(pattern='^[0-9.]+:[0-9]{1,5}$'),
+        AfterValidator(_check_server_address),
+    ]
     zone: str
-    slots: Annotated[StrictInt, Field(ge=1)]
+    slots: Annotated[StrictInt, Field(ge=1, le=_MAX_INT32)]
     state: Literal['ready', 'draining']
     # Start time of the server in Unix milliseconds; orders the starts of
     # servers that use the same id.
-    born: StrictInt = 0
+    born: Annotated[StrictInt, Field(ge=0, le=_MAX_INT64)] = 0
 
 
 class PlatformDecoder(RecordDecoder):
@@ -162,7 +183,10 @@
     ) -> Registration | None:
         """Return the registration of a server, None for an invalid record."""
         try:
-            decoded = _Server.model_validate_json(content)
+            record = _ANY_JSON.validate_json(content)
+            if isinstance(record, dict):
+                record['server_id'] = key
+            decoded = _Server.model_validate(record)
         except ValidationError as error:
             _log.warning(
                 'Server record can not be read.',
--- a/src/burdockledge/settings/__init__.py
+++ b/src/burdockledge/settings/__init__.py
@@ -9,6 +9,7 @@
     load_settings,
 )
 from burdockledge.settings._models import (
+    MAX_PORT,
     Address,
     CommaList,
     CommandSettings,
@@ -18,6 +19,7 @@
 )
 
 __all__ = (
+    'MAX_PORT',
     'Address',
     'CommaList',
     'CommandSettings',
--- a/src/burdockledge/settings/_models.py
+++ b/src/burdockledge/settings/_models.py
@@ -230,6 +230,7 @@
 
 
 __all__ = (
+    'MAX_PORT',
     'Address',
     'CommandSettings',
     'RelayHostSettings',
--- a/tests/platform_adapter/test_odd_records.py
+++ b/tests/platform_adapter/test_odd_records.py
@@ -7,8 +7,10 @@
 from typing import Any, Final
 
 import pytest
+from hypothesis import given, settings, strategies
 from result import Ok
 
+from burdockledge.calls import Prompt
 from burdockledge.clock import SystemClock
 from burdockledge.fakes import FakeDatagramSocket, FakeNetwork
 from burdockledge.peers import PeerKeys
@@ -47,7 +49,26 @@
     'a whole record of unclosed lists': b'[' * 262_000,
     'nested lists in a sound entry': nested_in(SERVER_RECORD),
 }
-ODD_SERVERS: Final = NESTED
+
+
+def changed(**fields: Any) -> bytes:
+    """Return a server entry with other values in some fields."""
+    return json.dumps({**SERVER_RECORD, **fields}).encode()
+
+
+ODD_SERVERS: Final = {
+    **NESTED,
+    'a port out of range': changed(address='10.0.0.1:70000'),
+    'a port of 0': changed(address='10.0.0.1:0'),
+    'an address out of range': changed(address='10.0.0.256:80'),
+    'an address of other digits': changed(address='\u0661\u0660.0.0.1:80'),
+    'slots beyond any server': changed(slots=10**400),
+    'a start too large': changed(born=10**400),
+    'a start before all time': changed(born=-(10**400)),
+    'a number without end': changed()[:-1] + b', "x":' + b'9' * 5000 + b'}',
+    'infinite slots': changed(slots=float('inf')),
+}
+ODD_SERVER_IDS: Final = ('i-x\r\nHost: y', 'i x', 'i-\x00', 'i-\u2028')
 
 
 class RecordPath:
@@ -56,6 +77,7 @@
     def __init__(self) -> None:
         """Create the state of a host with one peer, which hears its gossip."""
         clock = SystemClock()
+        self.clock = clock
         self.registry = ServerRegistry()
         self.exchange = GossipExchange(
             Peer('own', 'dc', 'own:1'),
@@ -86,7 +108,9 @@
 
     def servers(self) -> list[str]:
         """Return the ids of the servers that may get calls."""
-        instances = self.registry.ready_instances(SERVICE, 0)
+        instances = self.registry.ready_instances(
+            SERVICE, self.clock.monotonic()
+        )
         return sorted(instance.server_id for instance in instances)
 
 
@@ -95,6 +119,20 @@
     return json.dumps({**CONFIGURATION_RECORD, 'version': version}).encode()
 
 
+def place(path: RecordPath) -> set[str]:
+    """Place calls, as the gossip of another host tells of them too."""
+    routes = path.state.routes()
+    assert routes is not None
+    placements = [
+        path.state.place(
+            SERVICE, routes.document.routes[0], 0, Prompt((), 9, 9), frozenset()
+        )
+        for _ in range(20)
+    ]
+    path.exchange.call_events.flush()
+    return {one.instance.server_id for one in placements if one is not None}
+
+
 @pytest.mark.parametrize('name', ODD_SERVERS)
 def test_an_odd_server_entry_does_not_end_the_reading_of_the_store(
     name: str,
@@ -120,6 +158,7 @@
         await restarted.read(client)
         for each in (path, restarted):
             assert each.servers() == ['i-1', 'i-2']
+            assert place(each) <= {'i-1', 'i-2'}
             routes = each.state.routes()
             assert routes is not None
             assert routes.document.version == 2
@@ -127,6 +166,72 @@
     run_with_store(store, test)
 
 
+@pytest.mark.parametrize('server_id', ODD_SERVER_IDS)
+def test_an_id_that_no_header_can_hold_names_no_server(server_id: str) -> None:
+    """Guards against calls that end with an error of this host."""
+    store = StandInStore(
+        {
+            'keyed.op': [('config', versioned(1))],
+            'keyed.servers': [('i-1', SOUND), (server_id, SOUND)],
+        }
+    )
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        assert path.servers() == ['i-1']
+
+    run_with_store(store, test)
+
+
+JSON: Final = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from((2**31, 2**63, 2**64, 10**400, -(10**400)))
+    | strategies.floats()
+    | strategies.text(max_size=30),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=5), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    fields=strategies.dictionaries(
+        strategies.sampled_from(sorted(SERVER_RECORD)), JSON, max_size=3
+    ),
+    junk=strategies.binary(max_size=200),
+)
+def test_no_server_entry_raises(fields: dict[str, Any], junk: bytes) -> None:
+    """Any JSON in any field, or any bytes, leave sound servers in use."""
+    store = StandInStore(
+        {
+            'keyed.op': [('config', versioned(1))],
+            'keyed.servers': [('i-1', SOUND)],
+        }
+    )
+
+    async def test(client: StoreClient) -> None:
+        path = RecordPath()
+        await path.read(client)
+        store.topics['keyed.servers'] += [
+            ('i-x', changed(**fields)),
+            ('i-y', junk),
+        ]
+        for each in (path, RecordPath()):
+            await each.read(client)
+            assert 'i-1' in each.servers()
+            assert place(each)
+
+    run_with_store(store, test)
+
+
 ODD_FRAMES: Final = {
     'no bytes': b'',
     'a key longer than the record': b'\xffi-1',
