Bound the sizes of prompts that callers name

Callers of other requests would be placed by wrong loads: a count of tokens over 31 bits can't be packed into the message that tells the other hosts of a call, and the error dropped all call events that were sent with it. A count beyond a float raised in the placement itself.

Change: a prompt with a negative count, or with one over what the messages hold, is placed like a call without these headers; the headers are forwarded unchanged. test_calls.py: 10 new cases; the function that they call was private before, so they were not run against the old code as they stand.

--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -22,6 +22,8 @@
 _TOO_LARGE: Final = 413
 _HEADERS_TOO_LARGE: Final = 431
 _MS_PER_SECOND: Final = 1000
+# The largest number of tokens in the messages of the hosts.
+_MAX_TOKENS: Final = (1 << 31) - 1
 _PART_ID_MASK: Final = (1 << 32) - 1
 # Headers of a single connection (RFC 9110, section 7.6.1), and headers that
 # the HTTP client sets for the next hop.
@@ -74,7 +76,7 @@
         caller_timeout_seconds=_parse_timeout_seconds(
             headers.get(names.TIMEOUT_MS)
         ),
-        prompt=_parse_prompt(
+        prompt=parse_prompt(
             headers.get(names.PROMPT_PARTS), headers.get(names.TOKEN_COUNTS)
         ),
         last_event_id=headers.get(names.LAST_EVENT_ID),
@@ -125,6 +127,33 @@
     )
 
 
+def parse_prompt(parts: str | None, counts: str | None) -> Prompt:
+    """
+    Return the prompt that the headers of a call describe.
+
+    :param parts: ``ID:TOKENS`` entries, separated by commas.
+    :param counts: the tokens of the prompt and of the longest output.
+    :return: an empty prompt if the headers can not be read, or name sizes
+        that no engine has: the call is placed like one without them.
+    """
+    try:
+        prompt = Prompt(
+            tuple(
+                _parse_prompt_part(part)
+                for part in (parts or '').split(',')
+                if part
+            ),
+            *_parse_token_counts(counts),
+        )
+    except ValueError:
+        return Prompt()
+    sizes = [part.tokens for part in prompt.parts]
+    sizes += [sum(sizes), prompt.input_tokens, prompt.max_output_tokens]
+    if min(sizes) < 0 or max(sizes) > _MAX_TOKENS:
+        return Prompt()
+    return prompt
+
+
 def _check_request_head(request: BaseRequest, limits: CallerLimits) -> None:
     for name in ('Host', names.REQUEST_ID):
         if len(request.headers.getall(name, ())) != 1:
@@ -218,21 +247,6 @@
     return limit if math.isfinite(limit) else math.nan
 
 
-def _parse_prompt(parts: str | None, counts: str | None) -> Prompt:
-    try:
-        return Prompt(
-            tuple(
-                _parse_prompt_part(part)
-                for part in (parts or '').split(',')
-                if part
-            ),
-            *_parse_token_counts(counts),
-        )
-    except ValueError:
-        # A call with malformed prompt headers is placed like one without them.
-        return Prompt()
-
-
 def _parse_prompt_part(text: str) -> PromptPart:
     part, _, tokens = text.strip().partition(':')
     return PromptPart(int(part, 16) & _PART_ID_MASK, int(tokens))
@@ -250,5 +264,6 @@
     'call_rate_limit',
     'decode_call',
     'outbound_headers',
+    'parse_prompt',
     'response_headers',
 )
--- a/tests/platform_adapter/test_calls.py
+++ b/tests/platform_adapter/test_calls.py
@@ -1,4 +1,4 @@
-"""How headers of servers are decoded."""
+"""How headers of servers and callers are decoded."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 
 import pytest
 
-from burdockledge.platform._calls import call_rate_limit
+from burdockledge.calls import Prompt, PromptPart
+from burdockledge.platform._calls import call_rate_limit, parse_prompt
 
 NOT_READABLE = math.nan
 
@@ -38,3 +39,32 @@
         assert decoded is None
     else:
         assert decoded == pytest.approx(limit, nan_ok=True)
+
+
+@pytest.mark.parametrize(
+    ('parts', 'counts'),
+    [
+        ('a:5', f'{2**31},5'),
+        ('a:5', f'5,{2**31}'),
+        ('a:5', '-5,5'),
+        ('a:5', '5,' + '9' * 400),
+        (f'a:{2**31}', '5,5'),
+        (f'a:{2**30},b:{2**30}', '5,5'),
+        ('a:-5', '5,5'),
+        ('zz:5', '5,5'),
+        ('a:5', '9' * 5000),
+    ],
+)
+def test_a_prompt_of_impossible_size_is_placed_like_none(
+    parts: str, counts: str
+) -> None:
+    """Guards against numbers that no message between hosts holds."""
+    assert parse_prompt(parts, counts) == Prompt()
+
+
+def test_the_largest_prompt_is_read() -> None:
+    """Its parts and counts stay within 32 bits."""
+    prompt = parse_prompt(f'A:{2**31 - 2},b:1', f'{2**31 - 1},7')
+    assert prompt == Prompt(
+        (PromptPart(10, 2**31 - 2), PromptPart(11, 1)), 2**31 - 1, 7
+    )
