Limit the numbers of the operator's documents

Callers would be refused or cut off by a timer or a message that can't take a number; a settings file that nests brackets ended the reload of settings.

Times, tiers, weights and sizes of a configuration went on as they were written, also where they are packed into 32 bits; a tier below 0 or weights whose sum is infinite raised at each call.

Change: errors of any kind name the file; ports and times of the settings are checked.

--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -9,11 +9,14 @@
 
 import ipaddress
 import json
+import math
+from functools import partial
 from typing import Annotated, Any, Final, Literal
 
 from pydantic import (
     AfterValidator,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
     StrictInt,
@@ -52,18 +55,41 @@
 # Bounds of the integers in the messages of the hosts.
 _MAX_INT32: Final = (1 << 31) - 1
 _MAX_INT64: Final = (1 << 63) - 1
+# Larger weights are equal: their sum stays finite.
+_MAX_WEIGHT: Final = 10**9
 _ANY_JSON: Final[TypeAdapter[Any]] = TypeAdapter(Any)
 
 
+def _limit(number: object, highest: int, lowest: int) -> object:
+    """Replace a number beyond any use by the nearest one that is in use."""
+    if not isinstance(number, int | float) or not -math.inf < number < math.inf:
+        return number
+    return min(max(number, lowest), highest)
+
+
+# A negative time is an error, like one that is no number.
+_Milliseconds = Annotated[
+    float,
+    BeforeValidator(partial(_limit, highest=_MAX_INT32, lowest=-1)),
+    Field(ge=0),
+]
+_Count = Annotated[
+    int, BeforeValidator(partial(_limit, highest=_MAX_INT32, lowest=0))
+]
+_Weight = Annotated[
+    float, BeforeValidator(partial(_limit, highest=_MAX_WEIGHT, lowest=0))
+]
+
+
 class _Model(BaseModel):
     """Base of the models of records; unknown fields are ignored."""
 
-    model_config = ConfigDict(frozen=True)
+    model_config = ConfigDict(frozen=True, allow_inf_nan=False)
 
 
 class _TrafficShare(_Model):
     backend: str
-    weight: float = 1
+    weight: _Weight = 1
 
 
 class _Route(_Model):
@@ -71,22 +97,22 @@
     hostname: str
     path_prefix: str
     route_type: Literal['safe', 'unsafe', 'streaming'] = 'unsafe'
-    timeout_ms: float
-    target_latency_ms: float = 1000
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds = 1000
     # Priority tier; 0 is the highest.
-    priority: int | None = None
+    priority: _Count | None = None
     backend: str | None = None
     traffic_split: tuple[_TrafficShare, ...] | None = None
     max_attempts: int = 1
     public: bool = False
     stream_resume: bool = False
     # Service level of a stream: the longest pause between two events.
-    gap_aim_ms: float | None = None
+    gap_aim_ms: _Milliseconds | None = None
 
 
 class _Engine(_Model):
     # Tokens of KV cache, shared by running calls and cached prefixes.
-    kv_capacity: int = 0
+    kv_capacity: _Count = 0
 
 
 class _Service(_Model):
@@ -95,16 +121,17 @@
 
 
 class _Team(_Model):
-    name: str
+    # Calls carry it in a header.
+    name: Annotated[str, Field(pattern=r'^[^\x00-\x1f\x7f]*$')]
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: _Count | None = None
 
 
 class _Limits(_Model):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    header_timeout_ms: _Milliseconds = 3000
+    idle_timeout_ms: _Milliseconds = 15_000
 
 
 class _Configuration(_Model):
--- a/src/burdockledge/platform/_settings.py
+++ b/src/burdockledge/platform/_settings.py
@@ -8,18 +8,20 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-from burdockledge.settings import Address, RelayHostSettings
+from burdockledge.settings import MAX_PORT, Address, RelayHostSettings
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+# The port after a port of this range is used, too.
+Port = Annotated[int, Field(ge=1, lt=MAX_PORT)]
 NonNegative = Annotated[float, Field(ge=0)]
 
 
 class _Model(BaseModel):
     """Base of the models of the file's tables; unknown fields are ignored."""
 
-    model_config = ConfigDict(frozen=True)
+    model_config = ConfigDict(frozen=True, allow_inf_nan=False)
 
 
 class _Listen(_Model):
@@ -58,7 +60,7 @@
     ip: str
     zone: str
     # First and last port of the range for traffic between hosts.
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     # Control addresses of some hosts; may be out of date.
     seeds: tuple[str, ...] = ()
     listen: _Listen
@@ -71,7 +73,8 @@
     """Return the settings in a file, or an error that names the field."""
     try:
         raw = tomllib.loads(path.read_text('utf-8'))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # Besides its own, the parser raises errors of numbers and of nesting.
         return Err(f'{path}: {error}')
     try:
         settings_file = _SettingsFile.model_validate(raw)
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -181,6 +182,105 @@
     assert message_part in loaded.err_value
 
 
+@pytest.mark.parametrize(
+    'more',
+    [
+        'x = ' + '[' * 4000,
+        'x = ' + '{a=' * 4000,
+        'x = ' + '9' * 5000,
+        'x = "\\ud800"',
+    ],
+)
+def test_a_settings_file_that_nests_or_counts_too_far_is_an_error(
+    more: str, tmp_path: Path
+) -> None:
+    """Guards against a reload that ends at such a file (see review/1)."""
+    path = tmp_path / 'local.toml'
+    path.write_text(f'{more}\n{SETTINGS_FILE}')
+    assert isinstance(load_host_settings(path), Err)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'field'),
+    [
+        ('[7340, 7355]', '[70000, 70015]', 'internal_ports'),
+        ('config_ms = 3000', 'config_ms = nan', 'config_ms'),
+        ('config_ms = 3000', 'config_ms = inf', 'config_ms'),
+        ('10.1.0.40:8227', '10.1.0.40:82270', 'front'),
+    ],
+)
+def test_settings_out_of_range_name_the_field(
+    old: str, new: str, field: str, tmp_path: Path
+) -> None:
+    """No socket, timer or number of the host gets a value it can't take."""
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS_FILE.replace(old, new))
+    loaded = load_host_settings(path)
+    assert isinstance(loaded, Err)
+    assert field in loaded.err_value
+
+
+def configured(route: dict[str, Any], **fields: Any) -> bytes:
+    """Return a configuration with other values in some fields."""
+    (former,) = CONFIGURATION_RECORD['routes']
+    routes = [{**former, **route}]
+    return json.dumps(
+        {**CONFIGURATION_RECORD, 'routes': routes, **fields}
+    ).encode()
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        configured({'timeout_ms': float('inf')}),
+        configured({'timeout_ms': float('nan')}),
+        configured({'timeout_ms': -1}),
+        configured({'gap_aim_ms': float('inf')}),
+        configured({}, limits={'idle_timeout_ms': float('nan')}),
+        configured({}, tenants=[{'name': 't\r\nHost: x', 'api_keys': ['k']}]),
+    ],
+)
+def test_configuration_that_no_timer_or_header_takes_is_left_out(
+    content: bytes,
+) -> None:
+    """The version before stays in force."""
+    assert PlatformDecoder().decode_routing('config', content) is None
+
+
+def test_numbers_beyond_any_use_are_limited() -> None:
+    """Guards against calls that fail as the hosts tell each other of them."""
+    content = configured(
+        {
+            'timeout_ms': 10**400,
+            'target_latency_ms': 1e300,
+            'gap_aim_ms': 10**30,
+            'priority': -(10**30),
+            'traffic_split': [
+                {'backend': 'b1', 'weight': 1e308},
+                {'backend': 'b2', 'weight': 1e308},
+            ],
+        },
+        backends=[{'name': 'b1', 'engine': {'kv_capacity': 10**400}}],
+        tenants=[{'name': 't', 'api_keys': ['k'], 'priority': -5}],
+    )
+    configuration = PlatformDecoder().decode_routing('config', content)
+    assert configuration is not None
+    (route,) = configuration.routes
+    assert route.tier == 0
+    assert configuration.teams_by_api_key['k'].tier == 0
+    assert route.pause_target_seconds is not None
+    longest_seconds = max(
+        route.timeout_seconds,
+        route.latency_target_seconds,
+        route.pause_target_seconds,
+    )
+    assert longest_seconds * 1000 < 2**31
+    assert math.isfinite(sum(share.weight for share in route.shares))
+    engine = configuration.services['b1'].engine
+    assert engine is not None
+    assert engine.cache_tokens < 2**63
+
+
 def test_missing_settings_file_returns_an_error(tmp_path: Path) -> None:
     """The error contains the path of the file."""
     loaded = load_host_settings(tmp_path / 'none.toml')
