Apply notes of peers whatever numbers they hold

Callers would be placed by loads that one host no longer hears: a call with a tier below 0 raised as its weight was computed and the rest of its note was lost; a suspect call whose send lies out of range could be merged but no longer packed, so that its host failed at each later exchange of evidence, and so did the duty that keeps evidence in the store. The age of a stream could not be packed once the store had been away for 24 days.

--- a/src/burdockledge/quarantine/_evidence.py
+++ b/src/burdockledge/quarantine/_evidence.py
@@ -21,6 +21,8 @@
 _MAX_CALLS_PER_CRASH: Final = 8
 _MAX_CLEARANCES: Final = 128
 _MS_PER_SECOND: Final = 1000
+# The longest time that fits into the messages of the hosts.
+_MAX_AGE_MS: Final = (1 << 31) - 1
 _DIGEST_MASK: Final = (1 << 63) - 1
 
 
@@ -120,7 +122,7 @@
                 crash.server,
                 list(call.parts),
                 call.had_head,
-                round((crash.at - call.sent_at) * _MS_PER_SECOND),
+                _age_ms(call.sent_at, crash.at),
                 _age_ms(crash.at, now),
             )
             for crash in self._crashes.values()
@@ -192,7 +194,7 @@
 
 
 def _age_ms(at: float, now: float) -> int:
-    return max(0, round((now - at) * _MS_PER_SECOND))
+    return min(max(0, round((now - at) * _MS_PER_SECOND)), _MAX_AGE_MS)
 
 
 def _hash(text: str) -> int:
--- a/src/burdockledge/relay/_call_codec.py
+++ b/src/burdockledge/relay/_call_codec.py
@@ -29,17 +29,23 @@
 
 
 def decode_call_start(started: CallStarted, instance_id: str) -> CallStart:
-    """Return the call of another host at a known instance."""
+    """
+    Return the call of another host at a known instance.
+
+    Negative numbers, which no host sends, count as 0.
+    """
     pairs = zip(started.parts, started.part_tokens, strict=False)
     return CallStart(
         started.call,
         instance_id,
-        started.tier,
-        started.unread_tokens,
-        Prompt(tuple(PromptPart(part, tokens) for part, tokens in pairs)),
-        started.output_tokens,
+        max(0, started.tier),
+        max(0, started.unread_tokens),
+        Prompt(
+            tuple(PromptPart(part, max(0, tokens)) for part, tokens in pairs)
+        ),
+        max(0, started.output_tokens),
         started.pause_target_ms / _MS_PER_SECOND
-        if started.pause_target_ms
+        if started.pause_target_ms > 0
         else None,
     )
 
--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -9,6 +9,7 @@
 
 UNKNOWN_POSITION = -1
 _MS_PER_SECOND = 1000
+_MAX_AGE_MS = (1 << 31) - 1
 # The newest removals are kept to send them to hosts that missed them; a host
 # that missed older ones is sent the whole stream.
 _MAX_KEPT_REMOVALS = 256
@@ -90,8 +91,13 @@
         )
 
     def age_ms(self, now: float) -> int:
-        """Return the time since ``fresh_at`` in ms, 0 for an unknown stream."""
-        return int((now - (self.fresh_at or now)) * _MS_PER_SECOND)
+        """
+        Return the time since ``fresh_at`` in ms, 0 for an unknown stream.
+
+        It stays within what a message of the hosts holds, some 24 days.
+        """
+        age_ms = int((now - (self.fresh_at or now)) * _MS_PER_SECOND)
+        return min(max(0, age_ms), _MAX_AGE_MS)
 
     def _merge_whole(self, update: StreamUpdate) -> tuple[StreamEntry, ...]:
         keys = {entry.key for entry in update.entries}
