Take a response for an answer only if its id can't be another's

Callers were told 'not run' for a request that a server was running, or the request ran a second time (operators' report on repeated refusals).

Cause: of several ids in a response only the first was compared; and a response without an id counted as the answer on a connection that had carried nothing but such responses, also as a late copy of the refusal before.

Change: a response with several ids is rejected; one without an id is accepted only as the first on its connection, which is not used again. Servers echo ids by the platform's pages, so their connections are kept as before.

--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -80,7 +80,7 @@
         """Create a connection without a pending request."""
         super().__init__(loop=loop)
         self._awaits_response = False
-        self._echoes_ids = False
+        self._has_answered = False
         self._heads_left = 0
         self._body_bytes = 0
         self._framing_bytes = 0
@@ -110,25 +110,40 @@
                 self._reject('Too many answers before the right one.')
             if message.code < _FIRST_FINAL_STATUS:
                 return message, payload
-            response_request_id = message.headers.get(names.REQUEST_ID)
-            if response_request_id == self.request_id:
-                self._echoes_ids = True
-                break
-            if response_request_id is None:
-                # A server that sends ids leaves them out of no answer, but
-                # a late copy of an earlier answer may lack its id.
-                if self._echoes_ids:
-                    self._reject('Answer lacks its id.')
+            response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
+            if self._is_answer(response_ids):
                 break
             _log.warning(
                 'Answer to another request.',
                 request=self.request_id,
-                answered=response_request_id,
+                answered=sorted(response_ids),
             )
             self.force_close()
+        self._has_answered = True
         payload.on_eof(self._on_response_end)
         return message, payload
 
+    def _is_answer(self, response_ids: set[str]) -> bool:
+        """
+        Return whether a response with some ids answers the pending request.
+
+        A response without an id is only accepted as the first one of a
+        connection, which is not used again: on a later one, it could be a
+        late copy of the response before.
+
+        :raises HttpProcessingError: if it can not be told.
+        """
+        if not response_ids:
+            if self._has_answered:
+                self._reject('Answer lacks its id.')
+            self.force_close()
+            return True
+        if self.request_id not in response_ids:
+            return False
+        if len(response_ids) > 1:
+            self._reject('Answer has several ids.')
+        return True
+
     def data_received(self, data: bytes) -> None:
         """Close the connection if bytes arrive without a pending request."""
         if data and not self._awaits_response:
