Let only a stream go on with a stream that has begun

Cause: after a broken stream, any success of the next server was relayed as more of it: also a body of another type, such as JSON that tells of an error, and one without a length that ended before its first event, as the end of a crashing server does. Error statuses were left out already.

Evidence: test_relay.py, 11 answers after a stream that broke off inside an event; 4 failed before (error text with status 200, of no type, status 204, an unframed body of no bytes).

Change: the media type of a response must be that of the stream that it goes on with; a response without events completes a stream only if it is delimited.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -251,6 +251,9 @@
         is_stream = served.route.kind is RouteKind.stream
         try:
             if is_success and is_stream:
+                if not self._streams.may_continue(served, response):
+                    outcome.result = CallResult.failed
+                    return 'the answer does not go on with the stream'
                 await self._streams.relay(
                     served,
                     placement,
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -25,7 +25,8 @@
     monotonic clock. ``version`` is the version of the configuration that
     admitted the call. ``tried_instance_ids`` holds the instances to
     which it was sent. ``sends`` counts all sends, ``runs`` those after which
-    the call may have run. ``first_event_seconds`` is the time from arrival
+    the call may have run. ``media_type`` is that of a stream that began.
+    ``first_event_seconds`` is the time from arrival
     to the first write of events, ``longest_pause_seconds`` the longest time
     between two writes.
     """
@@ -43,6 +44,7 @@
     runs: int = 0
     may_have_run: bool = False
     has_response_started: bool = False
+    media_type: str | None = None
     event_buffer: EventBuffer = field(default_factory=EventBuffer)
     first_event_seconds: float | None = None
     last_write_at: float = 0.0
--- a/src/burdockledge/relay/_stream_relay.py
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -46,6 +46,19 @@
         self._clock = clock
         self._metrics = metrics
 
+    def may_continue(
+        self, served: ServedCall, response: ServerResponse
+    ) -> bool:
+        """
+        Return whether a response can go on with the stream of a call.
+
+        The text of an error, which servers send with a success status too, is
+        no part of a stream that has begun.
+        """
+        return not served.has_response_started or (
+            _media_type(response) == served.media_type
+        )
+
     async def relay(
         self,
         served: ServedCall,
@@ -101,10 +114,10 @@
         """
         if not served.event_buffer.is_at_event_boundary:
             raise IncompleteResponseError
+        if not writes and not response.is_delimited:
+            # The server may have crashed as its answer began.
+            raise IncompleteResponseError
         if not served.has_response_started:
-            if not response.is_delimited:
-                # The server may have crashed as its answer began.
-                raise IncompleteResponseError
             await self._start_stream(served, response)
         if served.sends == 1:
             self._state.note_stream_end(
@@ -124,6 +137,7 @@
         self, served: ServedCall, response: ServerResponse
     ) -> None:
         served.has_response_started = True
+        served.media_type = _media_type(response)
         self._metrics.observe(
             'first_event_seconds',
             self._clock.monotonic() - served.arrived_at,
@@ -132,6 +146,14 @@
         await served.caller.start_response(response.status, response.headers)
 
 
+def _media_type(response: ServerResponse) -> str | None:
+    """Return the media type of a body without its parameters, if it has one."""
+    for name, text in response.headers:
+        if name.lower() == 'content-type':
+            return text.partition(';')[0].strip().lower()
+    return None
+
+
 def _stall_timeout_seconds(served: ServedCall, *, may_resume: bool) -> float:
     pause_target_seconds = served.route.pause_target_seconds or 0
     if may_resume:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -91,6 +91,7 @@
     headers: Headers = (('Sealed', 'yes'),)
     is_closed: bool = False
     call_rate_limit: float | None = None
+    is_delimited: bool = True
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks, with the pauses between them."""
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import Any
+from typing import Any, Final
 
 import pytest
 
@@ -190,6 +190,63 @@
     assert run.caller.end == end
 
 
+EVENT_STREAM: Final = (('Content-Type', 'text/event-stream'),)
+BROKEN_OFF: Final = FakeResponse(
+    200, (events(1), b'id: 2\nda'), is_cut_off=True, headers=EVENT_STREAM
+)
+ERROR_TEXT: Final = b'{"error": "overloaded"}\n\n'
+ERROR_HEAD: Final = b'HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno'
+ERRORS_AFTER_A_STREAM_BEGAN: Final[dict[str, ScriptStep]] = {
+    'error status': FakeResponse(500, (ERROR_TEXT,)),
+    'client error': FakeResponse(400, (ERROR_TEXT,)),
+    'redirect': FakeResponse(302, (ERROR_TEXT,)),
+    'refusal': FakeResponse(503, (ERROR_TEXT,), proves_not_run=True),
+    'not proven refusal': FakeResponse(429, (ERROR_TEXT,)),
+    'error status with a stream': FakeResponse(
+        500, (events(2),), headers=EVENT_STREAM
+    ),
+    'error text with status 200': FakeResponse(
+        200, (ERROR_TEXT,), headers=(('Content-Type', 'application/json'),)
+    ),
+    'error text of no type': FakeResponse(200, (ERROR_TEXT,), headers=()),
+    'no content': FakeResponse(204, (), headers=()),
+    'head of an error as body': FakeResponse(
+        200, (ERROR_HEAD,), headers=EVENT_STREAM
+    ),
+    'nothing, up to the end of the connection': FakeResponse(
+        200, (), headers=EVENT_STREAM, is_delimited=False
+    ),
+}
+
+
+@pytest.mark.parametrize('name', ERRORS_AFTER_A_STREAM_BEGAN)
+def test_an_error_of_the_next_server_is_no_part_of_a_stream(name: str) -> None:
+    """Guards against ORDER and MIXED: the caller sees a stream cut off."""
+    second = ERRORS_AFTER_A_STREAM_BEGAN[name]
+    run = serve(
+        call('/resumed/x'),
+        replace(BROKEN_OFF),
+        replace(second),
+        replace(second),
+        replace(second),
+    )
+    assert run.caller.status == 200
+    assert run.caller.body == events(1)
+    assert run.caller.end == 'broken'
+
+
+def test_a_stream_whose_end_alone_was_missing_is_complete() -> None:
+    """A delimited stream without events says that nothing follows."""
+    run = serve(
+        call('/resumed/x'),
+        FakeResponse(200, (events(1),), is_cut_off=True, headers=EVENT_STREAM),
+        FakeResponse(
+            200, (), headers=(('content-type', 'Text/Event-Stream; x=y'),)
+        ),
+    )
+    assert (run.caller.body, run.caller.end) == (events(1), 'whole')
+
+
 def test_a_resumed_stream_sends_the_last_event_id() -> None:
     """The second server continues after the last complete event."""
     run = serve(
