Count a refusal in serve only for the call that it names

Calls that run at most once have connections of their own.

Cause: an engine's 503 was taken before its id was compared, and a service's refusal counted without an id.

Change: a refusal needs the id of its call, unless the connection is new. The stand-ins send ids with refusals; backend servers that don't are still believed on new connections, and otherwise count as 'may have run'.

--- a/src/burdockledge/backends/_http_engine.py
+++ b/src/burdockledge/backends/_http_engine.py
@@ -80,7 +80,7 @@
                 timeout=self._timeout,
             ) as response:
                 if response.status != _OK:
-                    yield await _read_error(response)
+                    yield await _read_error(response, call)
                     return
                 if response.headers.get(_REQUEST_ID_HEADER) != call.request_id:
                     yield StreamEnd(EndKind.crossed)
@@ -113,9 +113,16 @@
     yield StreamEnd(EndKind.interrupted, detail='no end of stream')
 
 
-async def _read_error(response: ClientResponse) -> StreamEnd:
+async def _read_error(response: ClientResponse, call: EngineCall) -> StreamEnd:
+    # On a connection in use before, an error without an id may be a late copy
+    # of the one before, and prove nothing of this call.
+    response_id = response.headers.get(
+        _REQUEST_ID_HEADER, call.request_id if call.is_at_most_once else None
+    )
+    if response_id not in {None, call.request_id}:
+        return StreamEnd(EndKind.crossed)
     detail = (await response.text(errors='replace'))[:_MAX_DETAIL_CHARACTERS]
-    if response.status == _UNAVAILABLE:
+    if response.status == _UNAVAILABLE and response_id is not None:
         return StreamEnd(EndKind.refused, response.status, detail)
     if response.status in _CLIENT_ERRORS:
         return StreamEnd(EndKind.rejected, response.status, detail)
--- a/src/burdockledge/backends/_http_service.py
+++ b/src/burdockledge/backends/_http_service.py
@@ -82,16 +82,17 @@
     response: ClientResponse,
     call: ServiceCall,
 ) -> Result[ServiceReply, CallFailure]:
-    if (
-        response.headers.get(_REQUEST_ID_HEADER, call.request_id)
-        != call.request_id
-    ):
+    response_id = response.headers.get(_REQUEST_ID_HEADER)
+    if response_id not in {None, call.request_id}:
         return Err(CallFailure.in_doubt)
     if (
         response.status == _UNAVAILABLE
         and _NOT_EXECUTED_HEADER in response.headers
     ):
-        return Err(CallFailure.refused)
+        # On a connection in use before, a refusal without an id may be a late
+        # copy of the one before.
+        is_own = response_id is not None or call.idempotency_key
+        return Err(CallFailure.refused if is_own else CallFailure.in_doubt)
     return Ok(
         ServiceReply(
             response.status,
--- a/src/burdockledge/standins/_engine_http.py
+++ b/src/burdockledge/standins/_engine_http.py
@@ -69,11 +69,13 @@
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         if self.faults.is_triggered('crash'):
             return _abort_connection(request)
+        request_id = request.headers.get(_REQUEST_ID, '')
         if self.faults.is_triggered('leaving'):
-            return web.Response(status=503, text='leaving')
+            return web.Response(
+                status=503, text='leaving', headers={_REQUEST_ID: request_id}
+            )
         self._count_excess()
         body = json.loads(await request.read())
-        request_id = request.headers.get(_REQUEST_ID, '')
         generation = _make_generation(
             body, request_id, self.faults.text('fatal')
         )
--- a/src/burdockledge/standins/_service_http.py
+++ b/src/burdockledge/standins/_service_http.py
@@ -50,7 +50,10 @@
         if self.faults.is_triggered('leaving'):
             return web.Response(
                 status=503,
-                headers={'X-Not-Executed': 'true'},
+                headers={
+                    'X-Not-Executed': 'true',
+                    _REQUEST_ID: request.headers.get(_REQUEST_ID, ''),
+                },
             )
         if self.faults.is_triggered('crash'):
             return _abort_connection(request)
