Keep to what servers say of themselves: leaving, and pauses

Callers would be sent to servers that are about to exit, or be turned away again by one that had just asked for a pause.

Evidence: tests/relay/test_server_notices.py, a fleet in virtual time (9, 71 and 195 hosts; engines that leave, that ask for pauses, both; hosts that restart or are cut off, a third of the datagrams lost).

Change: ServerGate says in one place whether a server may be used, and why not: registration, leaving, pause, named limit, tried before. Placement, repeats and waits ask it, and the client once more when the connection is open, before the first byte. Notices belong to the instance; a leaving one stays out when its entry is read again as ready. Without a usable server the caller hears 503, not run, and a time after the nearest end, spread.

Both rules share the gate, so they come in one commit. Not part of it: telling other hosts of a leaving server; order by urgency of calls that wait.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -277,6 +277,14 @@
         metrics.set_gauge_function(
             'prompt_parts_suspected', lambda: len(quarantine.suspected)
         )
+        notices = self.routing_state.gate.notices
+        metrics.set_gauge_function(
+            'servers_leaving', lambda: notices.leaving_count
+        )
+        metrics.set_gauge_function(
+            'servers_paused',
+            lambda: notices.paused_count(self._clock.monotonic()),
+        )
         metrics.set_gauge_function(
             'store_reads', lambda: self.store_reader.read_count
         )
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -8,6 +8,7 @@
 
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
 from burdockledge.platform import _names as names
+from burdockledge.scheduling import ServerNotice
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,7 +21,9 @@
 _BAD_REQUEST: Final = 400
 _REQUEST_TIMEOUT: Final = 408
 _TOO_LARGE: Final = 413
+_MISDIRECTED_REQUEST: Final = 421
 _HEADERS_TOO_LARGE: Final = 431
+_UNAVAILABLE: Final = 503
 _MS_PER_SECOND: Final = 1000
 # The largest number of tokens in the messages of the hosts.
 _MAX_TOKENS: Final = (1 << 31) - 1
@@ -114,10 +117,35 @@
     limits = tuple(raw_limits)
     if not limits:
         return None
-    readable = [limit for limit in map(_parse_limit, limits) if limit >= 0]
+    readable = [limit for limit in map(_parse_number, limits) if limit >= 0]
     return min(readable, default=math.nan)
 
 
+def server_notice(
+    status: int, leaving: Iterable[str], pauses: Iterable[str]
+) -> ServerNotice:
+    """
+    Return what a response says of its server.
+
+    :param leaving: the headers by which it says that it leaves.
+    :param pauses: the headers by which it asks for a pause. They count for
+        status 503 only; of several the longest one that is a number.
+    """
+    if status == _MISDIRECTED_REQUEST:
+        # The answer of another server than the one that was meant.
+        return ServerNotice()
+    pause_seconds = 0.0
+    texts = tuple(pauses) if status == _UNAVAILABLE else ()
+    if texts:
+        numbers = [
+            number for number in map(_parse_number, texts) if number >= 0
+        ]
+        pause_seconds = max(numbers, default=math.nan)
+    return ServerNotice(
+        any(text.strip() == '1' for text in leaving), pause_seconds
+    )
+
+
 def response_headers(raw_headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the response headers to pass on to the caller."""
     return tuple(
@@ -238,13 +266,13 @@
     return max(0.001, timeout_seconds)
 
 
-def _parse_limit(text: str) -> float:
-    """Return a number of calls, NaN if the text is none."""
+def _parse_number(text: str) -> float:
+    """Return a finite number, NaN if the text is none."""
     try:
-        limit = float(text)
+        number = float(text)
     except ValueError:
         return math.nan
-    return limit if math.isfinite(limit) else math.nan
+    return number if math.isfinite(number) else math.nan
 
 
 def _parse_prompt_part(text: str) -> PromptPart:
@@ -266,4 +294,5 @@
     'outbound_headers',
     'parse_prompt',
     'response_headers',
+    'server_notice',
 )
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -32,6 +32,10 @@
 URGENCY: Final = 'Burdockledge-Request-Urgency'
 # Address of the server from which cached prompt parts are fetched first.
 CACHE_SOURCE: Final = 'Kv-Fetch'
+# Headers of responses in which a server gives notice: ``1`` if it leaves, and
+# with status 503 the seconds for which it wants no call from this host.
+SERVER_LEAVING: Final = 'Server-Leaving'
+RETRY_AFTER: Final = 'Retry-After'
 # The caller's API key, as ``Token KEY``.
 AUTHORIZATION: Final = 'Authorization'
 AUTHORIZATION_SCHEME: Final = 'Token'
@@ -93,7 +97,9 @@
     'READY_PATH',
     'READ_PATH',
     'REQUEST_ID',
+    'RETRY_AFTER',
     'SERVERS_TOPIC',
+    'SERVER_LEAVING',
     'SETTINGS_VARIABLE',
     'SIGNATURE',
     'TEAM',
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -4,6 +4,7 @@
 
 import functools
 import socket
+from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
@@ -17,6 +18,7 @@
     call_rate_limit,
     outbound_headers,
     response_headers,
+    server_notice,
 )
 from burdockledge.relay import (
     Headers,
@@ -31,7 +33,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from aiohttp.connector import Connection
     from aiohttp.http import RawResponseMessage
@@ -183,11 +185,27 @@
         self._awaits_response = False
 
 
+class _WithheldError(Exception):
+    """A call must not be sent, now that its connection is open."""
+
+
+_SEND_ERRORS: Final = (_WithheldError, *_READ_ERRORS)
+# Asked by the request of the same task, for which aiohttp has no parameter.
+_obstacle: ContextVar[Callable[[], str | None]] = ContextVar('obstacle')
+
+
 class _IdentifiedRequest(aiohttp.ClientRequest):
     """A request that passes its id to its connection."""
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        """Send the request, and expect a response with the same id."""
+        """
+        Send the request, and expect a response with the same id.
+
+        :raises _WithheldError: if the call must not be sent any more.
+        """
+        obstacle = _obstacle.get()()
+        if obstacle is not None:
+            raise _WithheldError(obstacle)
         if isinstance(conn.protocol, _ServerConnection):
             conn.protocol.request_id = self.headers.get(names.REQUEST_ID)
         return await super().send(conn)
@@ -228,6 +246,11 @@
         self.call_rate_limit = call_rate_limit(
             response.headers.getall(names.CALL_RATE_LIMIT, ())
         )
+        self.notice = server_notice(
+            response.status,
+            response.headers.getall(names.SERVER_LEAVING, ()),
+            response.headers.getall(names.RETRY_AFTER, ()),
+        )
         self.is_delimited = (
             'Content-Length' in response.headers
             or 'Transfer-Encoding' in response.headers
@@ -291,6 +314,7 @@
         url = URL(
             f'http://{outbound.instance.address}{call.target}', encoded=True
         )
+        _obstacle.set(outbound.obstacle)
         try:
             response = await self._session.request(
                 call.method,
@@ -299,13 +323,27 @@
                 data=call.body or None,
                 allow_redirects=False,
             )
-        except _CONNECT_ERRORS:
-            return Err(SendFailure.not_connected)
-        except aiohttp.ClientResponseError:
-            return Err(SendFailure.garbled)
-        except _READ_ERRORS:
-            return Err(SendFailure.broken)
+        except _SEND_ERRORS as error:
+            failure = _failure_of(error)
+            _log.debug(
+                'No answer.',
+                request=call.request_id,
+                server=outbound.instance.server_id,
+                why=failure.value,
+                error=repr(error),
+            )
+            return Err(failure)
         return Ok(_HttpServerResponse(response))
 
 
+def _failure_of(error: Exception) -> SendFailure:
+    if isinstance(error, _WithheldError):
+        return SendFailure.withheld
+    if isinstance(error, _CONNECT_ERRORS):
+        return SendFailure.not_connected
+    if isinstance(error, aiohttp.ClientResponseError):
+        return SendFailure.garbled
+    return SendFailure.broken
+
+
 __all__ = ('HttpServerClient',)
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -114,6 +114,16 @@
             and entry.registration.state is ServerState.ready
         ]
 
+    def is_ready(self, instance: ServerInstance, now: float) -> bool:
+        """Return whether an instance may get calls, as its server says."""
+        entry = self._entries.get(instance.server_id)
+        return (
+            entry is not None
+            and entry.registration.instance.instance_id == instance.instance_id
+            and entry.registration.state is ServerState.ready
+            and (entry.expires_at is None or entry.expires_at >= now)
+        )
+
     def all_instances(self, now: float) -> list[ServerInstance]:
         """Return every registered instance, including draining ones."""
         return [entry.registration.instance for entry in self._unexpired(now)]
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -34,6 +34,7 @@
     RoutingState,
     SendOutcome,
 )
+from burdockledge.relay._server_gate import Obstacle, Selection, ServerGate
 
 __all__ = (
     'CONFIGURATION_STREAM',
@@ -44,6 +45,7 @@
     'GuardedPart',
     'Headers',
     'IncompleteResponseError',
+    'Obstacle',
     'OutboundCall',
     'OversizedResponseError',
     'PartOperations',
@@ -58,7 +60,9 @@
     'RoutingState',
     'SendFailure',
     'SendOutcome',
+    'Selection',
     'ServerClient',
+    'ServerGate',
     'ServerResponse',
     'StalledResponseError',
     'pick_service',
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -50,6 +51,10 @@
 # bound is that of the largest request bodies by default.
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _MS_PER_SECOND: Final = 1000
+_RESULT_BY_FAILURE: Final = {
+    SendFailure.garbled: CallResult.failed,
+    SendFailure.withheld: CallResult.abandoned,
+}
 
 
 class Forwarder:
@@ -183,10 +188,8 @@
             if not failure.proves_not_run:
                 served.may_have_run = True
                 served.runs += 1
-            outcome.result = (
-                CallResult.failed
-                if failure is SendFailure.garbled
-                else CallResult.unreachable
+            outcome.result = _RESULT_BY_FAILURE.get(
+                failure, CallResult.unreachable
             )
             outcome.has_broken = failure is SendFailure.broken
             return failure.value
@@ -211,6 +214,7 @@
             last_event_id=served.event_buffer.last_id
             or served.call.last_event_id,
             cache_source=placement.cache_source,
+            obstacle=partial(self._state.obstacle_to_send, placement),
         )
         timeout_seconds = self._head_timeout_seconds(served)
         # A call whose send times out or is cancelled may still run.
@@ -242,6 +246,7 @@
     ) -> tuple[int, str] | str:
         outcome.progress = ResponseProgress.head
         self._state.note_response_start(placement, response.call_rate_limit)
+        self._state.note_server_notice(placement, response.notice)
         if response.proves_not_run:
             outcome.result = CallResult.refused
             return f'the server refused with {response.status}'
@@ -317,7 +322,8 @@
                 f'{part.part_id:x}' for part in served.call.prompt.shared_parts
             ],
             running=placement.running_calls,
-            at_limit=placement.servers_at_limit,
+            at_limit=placement.left_out.get('limit', 0),
+            left_out=placement.left_out,
             resumes_after=served.event_buffer.last_id,
             source=None
             if placement.cache_source is None
--- a/src/burdockledge/relay/_limit_guard.py
+++ b/src/burdockledge/relay/_limit_guard.py
@@ -94,25 +94,26 @@
             )
         )
 
-    def retry_after_seconds(
+    def spread_seconds(
         self, service: str, instance_ids: Collection[str]
     ) -> float:
         """
-        Return when the caller of a refused call may come back.
+        Return how much later than the first one a refused caller comes back.
 
         The callers that all hosts refused lately are spread over the time in
-        which the servers can take them.
+        which servers with limits can take them.
         """
         now = self._clock.monotonic()
         refused_at = self._refused_at[service]
         refused_at.append(now)
         while refused_at[0] <= now - _BACKLOG_SECONDS:
             refused_at.popleft()
-        room = self.limits.seconds_until_room(instance_ids, now) or 0.0
         backlog = len(refused_at) * self.host_count()
         calls_per_second = self.limits.calls_per_second(instance_ids)
-        spread = max(_MIN_SPREAD_SECONDS, backlog / max(calls_per_second, 1))
-        return room + self._random.uniform(0, spread)
+        spread = _MIN_SPREAD_SECONDS
+        if calls_per_second:
+            spread = max(spread, backlog / max(calls_per_second, 1))
+        return self._random.uniform(0, spread)
 
     def _log_change(self, change: LimitChange | None) -> None:
         if change is None:
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -14,10 +14,11 @@
     from burdockledge.relay._served_call import ServedCall
 
 # A call waits this long for another one with a suspected part to begin, or for
-# room at a server with a limit, as a multiple of its route's latency target.
+# a server that is at its limit or paused, as a multiple of its route's latency
+# target.
 _HOLD_LATENCY_TARGETS: Final = 0.5
 _HOLD_POLL_SECONDS: Final = 0.02
-_AT_LIMIT: Final = 'every server is at the limit that it names'
+_ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,16 +89,16 @@
         )
         if placement is not None:
             return placement
-        room = self._state.seconds_until_room(
+        wait = self._state.seconds_until_usable(
             served.service, tried_instance_ids
         )
-        return None if room is None else _Wait(_AT_LIMIT, room)
+        return None if wait is None else _Wait(_ALL_BUSY, wait)
 
     def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> Refusal:
-        if wait.why != _AT_LIMIT:
+        if wait.why != _ALL_BUSY:
             return Refusal(wait.why)
         return Refusal(
-            wait.why, self._state.limit_retry_after_seconds(served.service)
+            wait.why, self._state.retry_after_seconds(served.service)
         )
 
 
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from burdockledge.scheduling import ServerNotice
+
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from result import Result
 
@@ -25,11 +27,16 @@
     broken = 'the connection broke after the call was sent'
     garbled = 'the answer can not be read'
     silent = 'no answer came in time'
+    withheld = 'the server gave notice before the call was sent'
 
     @property
     def proves_not_run(self) -> bool:
         """Whether the server has not run the call and never will."""
-        return self in {SendFailure.not_connected, SendFailure.not_sent}
+        return self in {
+            SendFailure.not_connected,
+            SendFailure.not_sent,
+            SendFailure.withheld,
+        }
 
 
 class IncompleteResponseError(Exception):
@@ -52,7 +59,8 @@
     ``urgency`` 0 is the highest priority. ``remaining_seconds`` is what is
     left of the call's time limit. A stream is resumed after the event
     ``last_event_id``, if any. The server fetches cached parts of the prompt
-    from ``cache_source``, if any.
+    from ``cache_source``, if any. ``obstacle`` is asked before the first
+    byte is sent: if it names one, the call must not be sent.
     """
 
     call: ForwardedCall
@@ -62,6 +70,7 @@
     remaining_seconds: float
     last_event_id: str | None
     cache_source: ServerInstance | None = None
+    obstacle: Callable[[], str | None] = lambda: None
 
 
 class ServerResponse(ABC):
@@ -72,7 +81,8 @@
     run the call and never will. ``is_delimited``: whether the response itself
     tells where its body ends, by a length or by chunks, and not its connection.
     ``call_rate_limit``: the calls a second that the server takes from all hosts
-    together, None if it names no limit, NaN if it can not be read.
+    together, None if it names no limit, NaN if it can not be read. ``notice``
+    is what it says of its server besides.
     """
 
     status: int
@@ -80,6 +90,7 @@
     proves_not_run: bool
     is_delimited: bool = True
     call_rate_limit: float | None = None
+    notice: ServerNotice = ServerNotice()
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -14,6 +14,7 @@
 from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
+from burdockledge.relay._server_gate import ServerGate
 from burdockledge.scheduling import (
     CallResult,
     CallStart,
@@ -40,6 +41,7 @@
     from burdockledge.registry import ServerRegistry
     from burdockledge.relay._routing_state import SendOutcome
     from burdockledge.replication import GossipExchange
+    from burdockledge.scheduling import ServerNotice
     from burdockledge.wire import Note
 
 _log = make_logger('knowledge')
@@ -89,6 +91,7 @@
         self._policy = PlacementPolicy(self._loads, self._health, random)
         self.parts = PartGuard(exchange, clock, random)
         self.limits = LimitGuard(exchange, clock, random)
+        self.gate = ServerGate(registry, self.limits.limits)
         self.parts.services = self._service_names
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
@@ -138,12 +141,11 @@
             route.latency_target_seconds,
             route.pause_target_seconds,
         )
-        instances = self._registry.ready_instances(service, now)
-        exhausted_ids = self.limits.limits.exhausted_ids(now)
+        selection = self.gate.select(service, tried_instance_ids, now)
         choice = self._policy.choose(
-            instances,
+            selection.instances,
             request,
-            tried_instance_ids | exhausted_ids,
+            (),
             now,
             self.limits.limits.limited_ids,
         )
@@ -172,23 +174,38 @@
             choice.running_calls,
             choice.cache_source,
             now,
-            len(exhausted_ids),
+            selection.counts(),
         )
 
-    def seconds_until_room(
+    def seconds_until_usable(
         self, service: str, tried_instance_ids: frozenset[str]
     ) -> float | None:
-        """Return when a server has room within its limit, None if never."""
+        """Return when a server ends its pause or has room, None if never."""
+        return self.gate.seconds_until_usable(
+            service, tried_instance_ids, self._clock.monotonic()
+        )
+
+    def retry_after_seconds(self, service: str) -> float:
+        """Return when the caller of a call without a server may come back."""
         now = self._clock.monotonic()
-        return self.limits.limits.seconds_until_room(
-            self._untried_ids(service, tried_instance_ids), now
+        instances = self._registry.ready_instances(service, now)
+        wait = self.gate.seconds_until_usable(service, (), now) or 0.0
+        return wait + self.limits.spread_seconds(
+            service, [instance.instance_id for instance in instances]
         )
 
-    def limit_retry_after_seconds(self, service: str) -> float:
-        """Return when a call that limits left no room for may come back."""
-        return self.limits.retry_after_seconds(
-            service, self._untried_ids(service, frozenset())
+    def obstacle_to_send(self, placement: Placement) -> str | None:
+        """Return why a placed call must not be sent, None if it may."""
+        obstacle = self.gate.obstacle_to_send(
+            placement.instance, self._clock.monotonic()
         )
+        return None if obstacle is None else obstacle.value
+
+    def note_server_notice(
+        self, placement: Placement, notice: ServerNotice
+    ) -> None:
+        """Apply what the head of a response says of its server."""
+        self.gate.note(placement.instance, notice, self._clock.monotonic())
 
     def note_response_start(
         self, placement: Placement, call_rate_limit: float | None
@@ -262,16 +279,6 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
-    def _untried_ids(
-        self, service: str, tried_instance_ids: frozenset[str]
-    ) -> frozenset[str]:
-        now = self._clock.monotonic()
-        instances = self._registry.ready_instances(service, now)
-        return (
-            frozenset(instance.instance_id for instance in instances)
-            - tried_instance_ids
-        )
-
     def _service_names(self) -> tuple[str, ...]:
         routes = self._routes
         return () if routes is None else tuple(routes.document.services)
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from burdockledge.calls import ResponseProgress
 from burdockledge.scheduling import CallResult
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from burdockledge.calls import Prompt, Route, ServerInstance
     from burdockledge.quarantine import Verdict
     from burdockledge.relay._routes import RouteIndex
+    from burdockledge.scheduling import ServerNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,8 +28,8 @@
     ``prefill_tokens`` is what the server has to prefill, ``running_calls``
     how many calls it had before. The server fetches cached parts of the
     prompt from ``cache_source``, if any. ``placed_at`` is in seconds of the
-    monotonic clock. ``servers_at_limit`` is how many servers were left out,
-    as they get as many calls as the limits that they name allow.
+    monotonic clock. ``left_out`` is how many servers were left out, by the
+    names of what kept them from the call.
     """
 
     call_id: int
@@ -36,7 +39,7 @@
     running_calls: int
     cache_source: ServerInstance | None = None
     placed_at: float = 0.0
-    servers_at_limit: int = 0
+    left_out: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -98,19 +101,34 @@
         """
 
     @abstractmethod
-    def seconds_until_room(
+    def seconds_until_usable(
         self, service: str, tried_instance_ids: frozenset[str]
     ) -> float | None:
         """
-        Return when a server has room within the limit that it names.
+        Return when a server ends its pause or has room within its limit.
 
         :param tried_instance_ids: instances that must not be chosen.
-        :return: seconds from now, None if no limit is what is in the way.
+        :return: seconds from now, None if only new servers can help.
         """
 
     @abstractmethod
-    def limit_retry_after_seconds(self, service: str) -> float:
-        """Return when a call that limits left no room for may come back."""
+    def retry_after_seconds(self, service: str) -> float:
+        """Return when the caller of a call without a server may come back."""
+
+    @abstractmethod
+    def obstacle_to_send(self, placement: Placement) -> str | None:
+        """
+        Return why a placed call must not be sent after all, None if it may.
+
+        It is asked once more as the call is sent: servers give notice while a
+        connection is opened.
+        """
+
+    @abstractmethod
+    def note_server_notice(
+        self, placement: Placement, notice: ServerNotice
+    ) -> None:
+        """Apply what the head of a response says of its server."""
 
     @abstractmethod
     def note_response_start(
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -9,6 +9,7 @@
     LoadTracker,
     ServerLoad,
 )
+from burdockledge.scheduling._notices import ServerNotice, ServerNotices
 from burdockledge.scheduling._policy import (
     PlacementChoice,
     PlacementPolicy,
@@ -34,6 +35,8 @@
     'PlacementRequest',
     'PrefixCacheEstimate',
     'ServerLoad',
+    'ServerNotice',
+    'ServerNotices',
     'ServerRateLimits',
     'ServiceTiming',
 )
--- a/tests/platform_adapter/test_calls.py
+++ b/tests/platform_adapter/test_calls.py
@@ -7,7 +7,11 @@
 import pytest
 
 from burdockledge.calls import Prompt, PromptPart
-from burdockledge.platform._calls import call_rate_limit, parse_prompt
+from burdockledge.platform._calls import (
+    call_rate_limit,
+    parse_prompt,
+    server_notice,
+)
 
 NOT_READABLE = math.nan
 
@@ -68,3 +72,44 @@
     assert prompt == Prompt(
         (PromptPart(10, 2**31 - 2), PromptPart(11, 1)), 2**31 - 1, 7
     )
+
+
+@pytest.mark.parametrize(
+    ('status', 'leaving', 'pauses', 'is_leaving', 'seconds'),
+    [
+        (200, (), (), False, 0),
+        (200, ('1',), (), True, 0),
+        (500, (' 1 ',), (), True, 0),
+        (200, ('0',), (), False, 0),
+        (200, ('true',), (), False, 0),
+        (200, ('',), (), False, 0),
+        (200, ('0', '1'), (), True, 0),
+        (503, (), ('2.5',), False, 2.5),
+        (503, ('1',), ('2',), True, 2),
+        (503, (), ('0',), False, 0),
+        (503, (), ('1', '3', 'x'), False, 3),
+        (503, (), ('1e300',), False, 1e300),
+        (503, (), ('-1',), False, NOT_READABLE),
+        (503, (), ('',), False, NOT_READABLE),
+        (503, (), ('nan',), False, NOT_READABLE),
+        (503, (), ('inf',), False, NOT_READABLE),
+        (503, (), ('1e999',), False, NOT_READABLE),
+        (503, (), ('Sat, 05 Dec 2026 12:00:00 GMT',), False, NOT_READABLE),
+        # Only a 503 turns a call away with a pause.
+        (200, (), ('2',), False, 0),
+        (429, (), ('2',), False, 0),
+        # Another server than the one that was meant has answered.
+        (421, ('1',), ('2',), False, 0),
+    ],
+)
+def test_notices_of_servers(
+    status: int,
+    leaving: tuple[str, ...],
+    pauses: tuple[str, ...],
+    is_leaving: bool,
+    seconds: float,
+) -> None:
+    """What can not be read says nothing of the server."""
+    notice = server_notice(status, leaving, pauses)
+    assert notice.is_leaving is is_leaving
+    assert notice.pause_seconds == pytest.approx(seconds, nan_ok=True)
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -46,9 +46,10 @@
     ServerResponse,
 )
 from burdockledge.replication import GossipExchange, Peer
+from burdockledge.scheduling import ServerNotice
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import StreamEntry, StreamUpdate
-from tests.relay.fakes import FakeCaller, events
+from tests.relay.fakes import FakeCaller, FakeResponse, events
 
 KEYS: Final = PeerKeys(('a key of sixteen characters',), None)
 SERVICE: Final = 'model'
@@ -93,6 +94,20 @@
     request_id: str
     part_ids: tuple[int, ...]
     remaining_seconds: float
+    # The run of the host's process.
+    process: str = ''
+
+
+@dataclass(frozen=True)
+class Notice:
+    """What an engine said of itself in a head that reached a host."""
+
+    at: float
+    # The run of the host's process that got it.
+    process: str
+    instance_id: str
+    # The pause that it asks for, None if it leaves.
+    pause_seconds: float | None = None
 
 
 @dataclass
@@ -120,6 +135,11 @@
     prefill_until: float = 0.0
     # Calls a second that the engine names in its answers, None for no limit.
     limit: float | None = None
+    # Whether its answers say that it leaves.
+    is_leaving: bool = False
+    # Until when it turns calls away, and the pause that it asks for then.
+    refuses_until: float = 0.0
+    pause_seconds: float = 0.0
     cached: set[tuple[int, ...]] = field(default_factory=set)
 
     def prefill_seconds(self, part_ids: tuple[int, ...], now: float) -> float:
@@ -167,6 +187,7 @@
         self.headers = (('Sealed', 'yes'),)
         self.proves_not_run = False
         self.call_rate_limit = engine.limit
+        self.notice = ServerNotice(engine.is_leaving)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the events, each after the time it takes."""
@@ -186,12 +207,21 @@
         """Do nothing."""
 
 
+class _Refusal(FakeResponse):
+    """A refusal that asks for a pause."""
+
+    def __init__(self, pause_seconds: float, *, is_leaving: bool) -> None:
+        super().__init__(503, (b'busy',), proves_not_run=True)
+        self.notice = ServerNotice(is_leaving, pause_seconds)
+
+
 class _EngineClient(ServerClient):
     """Sends the calls of one host to the engines of the fleet."""
 
     def __init__(self, fleet: Fleet, host: str) -> None:
         self._fleet = fleet
         self._host = host
+        self._process = f'{host}-{fleet.start_count}'
 
     async def send(
         self, outbound: OutboundCall
@@ -202,14 +232,22 @@
         engine = fleet.engines.get(outbound.instance.instance_id)
         if engine is None:
             return Err(SendFailure.not_connected)
+        if outbound.obstacle() is not None:
+            return Err(SendFailure.withheld)
         parts = tuple(part.part_id for part in outbound.call.prompt.parts)
         now = fleet.loop.time()
         fleet.arrivals.append(
             Arrival(
                 now, self._host, engine.instance.instance_id,
                 outbound.call.request_id, parts, outbound.remaining_seconds,
+                self._process,
             )
         )  # fmt: skip
+        if now < engine.refuses_until:
+            self._note(engine, engine.pause_seconds)
+            return Ok(
+                _Refusal(engine.pause_seconds, is_leaving=engine.is_leaving)
+            )
         is_fatal = not fleet.bad_parts.isdisjoint(parts[:-1])
         try:
             await engine.sleep(engine.prefill_seconds(parts, now))
@@ -219,8 +257,20 @@
             fleet.end_engine(engine, parts)
             return Err(SendFailure.broken)
         first_event = int(outbound.last_event_id or 0) + 1
+        if engine.is_leaving:
+            self._note(engine, None)
         return Ok(_EngineResponse(engine, fleet, parts, first_event, is_fatal))
 
+    def _note(self, engine: Engine, pause_seconds: float | None) -> None:
+        self._fleet.notices.append(
+            Notice(
+                self._fleet.loop.time(),
+                self._process,
+                engine.instance.instance_id,
+                pause_seconds,
+            )
+        )
+
 
 class _Decoder(RecordDecoder):
     """Decodes the records that the fleet publishes."""
@@ -296,6 +346,7 @@
         self.sends_head_before_end = True
         self.arrivals: list[Arrival] = []
         self.answers: list[Answer] = []
+        self.notices: list[Notice] = []
         # The parts of the calls that ended an engine, by the time of its end.
         self.ends_under: dict[float, tuple[int, ...]] = {}
         # Times at which hosts were dead or cut off, by name.
