Select servers without a pass over them while none gives notice

Cause: the gate asked each server for its obstacles at each placement, 25 us at 45 servers, where nearly always no server has given notice, none is at its limit and none was tried.

--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -73,8 +73,12 @@
         only if there is no other one: it is likely to be turned away again.
         """
         exhausted_ids = self._limits.exhausted_ids(now)
+        instances = self._registry.ready_instances(service, now)
+        if not (tried_instance_ids or exhausted_ids or self.notices.has_any):
+            # Nearly always: each placement of a call passes here.
+            return Selection(instances)
         selection = Selection([])
-        for instance in self._registry.ready_instances(service, now):
+        for instance in instances:
             obstacle = self._obstacle(
                 instance.instance_id, tried_instance_ids, exhausted_ids, now
             )
--- a/src/burdockledge/scheduling/_notices.py
+++ b/src/burdockledge/scheduling/_notices.py
@@ -48,6 +48,11 @@
         """The number of known instances that leave."""
         return len(self._leaving)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any instance has given a notice that may still matter."""
+        return bool(self._leaving or self._paused_until)
+
     def paused_count(self, now: float) -> int:
         """Return the number of instances that want a pause now."""
         return sum(until > now for until in self._paused_until.values())
