Drop what nothing uses of the server gate, and a second bound of ports

Cause: ServerGate.note returned whether a server's leaving is news, and note_leaving took a witness, both for telling other hosts, which is not built; the datagram socket had its own copy of MAX_PORT.

Change: note returns nothing, the socket uses the bound of the settings. Log lines and behaviour are the same.

--- a/src/burdockledge/membership/_datagrams.py
+++ b/src/burdockledge/membership/_datagrams.py
@@ -9,13 +9,13 @@
 from functools import lru_cache
 from typing import Final
 
+from burdockledge.settings import MAX_PORT
 from burdockledge.telemetry import make_logger
 
 DatagramHandler = Callable[[bytes, str], None]
 
 _log = make_logger('datagrams')
 
-_MAX_PORT: Final = 65_535
 # Far more than the addresses that one host sends to.
 _MAX_PARSED_ADDRESSES: Final = 4096
 
@@ -90,7 +90,7 @@
     host, _, port = address.rpartition(':')
     try:
         ip = ipaddress.ip_address(host.strip('[]'))
-        is_valid = 0 <= int(port) <= _MAX_PORT
+        is_valid = 0 <= int(port) <= MAX_PORT
     except ValueError:
         is_valid = False
     if is_valid:
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -124,12 +124,8 @@
 
     def note(
         self, instance: ServerInstance, notice: ServerNotice, now: float
-    ) -> bool:
-        """
-        Apply what the head of a response of a server says of it.
-
-        :return: whether it is news that the server leaves.
-        """
+    ) -> None:
+        """Apply what the head of a response of a server says of it."""
         server = instance.server_id
         seconds = notice.pause_seconds
         if math.isnan(seconds):
@@ -140,19 +136,12 @@
             )
         elif not self.notices.pause_seconds(instance.instance_id, now):
             self.notices.note_answer(instance.instance_id)
-        return notice.is_leaving and self.note_leaving(instance.instance_id)
-
-    def note_leaving(self, instance_id: str, witness: str = 'own') -> bool:
-        """
-        Note that a server leaves.
-
-        :param witness: the host that got the server's answer.
-        :return: whether that is news.
-        """
-        is_news = self.notices.note_leaving(instance_id)
-        if is_news:
-            _log.info('Server leaves.', server=instance_id, witness=witness)
-        return is_news
+        if notice.is_leaving and self.notices.note_leaving(
+            instance.instance_id
+        ):
+            _log.info(
+                'Server leaves.', server=instance.instance_id, witness='own'
+            )
 
     def _without_recovering(
         self, selection: Selection, now: float
