Tell which configuration a host follows, and by which way it came

The logs and metrics of a host could not tell why: dropped notes of peers, failed reads of the store and streams that were behind looked alike.

--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -95,6 +95,7 @@
         self.parts.services = self._service_names
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
+        self._routes_since = 0.0
         self._ready = asyncio.Event()
         # Call events name the registered instances by these hashes.
         self._instance_ids_by_hash: dict[int, str] = {}
@@ -111,6 +112,16 @@
         """Return the routes of the newest configuration, None before one."""
         return self._routes
 
+    def configuration_version(self) -> int:
+        """Return the version in force, 0 before one."""
+        return 0 if self._routes is None else self._routes.document.version
+
+    def configuration_seconds(self) -> float:
+        """Return for how long the version has been in force, 0 before one."""
+        if self._routes is None:
+            return 0.0
+        return self._clock.monotonic() - self._routes_since
+
     def verdict(self, service: str, prompt: Prompt) -> Verdict:
         """Return whether the parts of a prompt may reach servers now."""
         return self.parts.verdict(service, prompt)
@@ -365,6 +376,7 @@
             _log.warning('Older version left out.', version=document.version)
             return
         self._routes = RouteIndex(document)
+        self._routes_since = self._clock.monotonic()
         if document.routes:
             self._loads.set_call_expiry(
                 max(route.timeout_seconds for route in document.routes)
@@ -377,6 +389,7 @@
             age_ms=self._exchange.state(CONFIGURATION_STREAM).age_ms(
                 self._clock.monotonic()
             ),
+            source=self._exchange.sources.get(CONFIGURATION_STREAM),
         )
         for instance in self._registry.all_instances(self._clock.monotonic()):
             self._set_cache_size(instance)
--- a/src/burdockledge/replication/__init__.py
+++ b/src/burdockledge/replication/__init__.py
@@ -4,7 +4,9 @@
 
 from burdockledge.replication._evidence_keeper import EvidenceKeeper
 from burdockledge.replication._exchange import (
+    STORE_SOURCE,
     GossipExchange,
+    NoteRejection,
     StreamListener,
 )
 from burdockledge.replication._groups import (
@@ -12,6 +14,7 @@
     Peer,
     PeerGroups,
 )
+from burdockledge.replication._lag import StreamLags
 from burdockledge.replication._reader import StoreReader
 from burdockledge.replication._schedule import ReadSchedule
 from burdockledge.replication._source import RecordSource, SourceFailure
@@ -23,16 +26,19 @@
 
 __all__ = (
     'MAX_FULL_MESH_HOSTS',
+    'STORE_SOURCE',
     'UNKNOWN_POSITION',
     'EvidenceKeeper',
     'GossipExchange',
     'MergeResult',
+    'NoteRejection',
     'Peer',
     'PeerGroups',
     'ReadSchedule',
     'RecordSource',
     'SourceFailure',
     'StoreReader',
+    'StreamLags',
     'StreamListener',
     'StreamState',
 )
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
@@ -10,6 +12,7 @@
 from burdockledge.kernel import TaskGroupService
 from burdockledge.replication._call_events import CallEventSender
 from burdockledge.replication._groups import KnownPeers
+from burdockledge.replication._lag import StreamLags
 from burdockledge.replication._state import StreamState
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
@@ -46,6 +49,17 @@
 _MIN_AGE_GAIN_MS: Final = 300
 # Instead of a digest, in evidence that needs no answer.
 _FINAL_EVIDENCE: Final = -1
+# The source of records that this host has read itself.
+STORE_SOURCE: Final = 'store'
+
+
+class NoteRejection(enum.Enum):
+    """Why a note, or a fragment of one, was not used."""
+
+    authentication = 'it is not signed by a host'
+    encoding = 'it can not be decoded'
+    outdated = 'it is older than one from the same address'
+
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
 CallEventListener = Callable[[Note], None]
@@ -67,6 +81,10 @@
     ``on_call_events`` is called with each note that may hold call events.
     ``bootstrap_addresses`` returns addresses to pull from while no peer is
     known.
+
+    ``sources`` tells by stream whence its newest records came: the address of
+    a peer, or ``STORE_SOURCE``. ``left_out_notes`` counts notes and fragments
+    of notes that were not used, by reason.
     """
 
     name = 'exchange'
@@ -92,6 +110,9 @@
         self._assemblers: dict[str, NoteAssembler] = {}
         self._streams_to_pull: set[str] = set(streams)
         self.peers = KnownPeers(own_peer)
+        self.lags = StreamLags()
+        self.sources: dict[str, str] = {}
+        self.left_out_notes: Counter[NoteRejection] = Counter()
         self.call_events = CallEventSender(self.peers, self._send, random)
         self.bootstrap_addresses: Callable[[], list[str]] = list
         self.quarantine: Quarantine | None = None
@@ -202,6 +223,7 @@
     def _receive(self, datagram: bytes, source: str) -> None:
         encoded = self._keys.verify_datagram(_MAC_CONTEXT, datagram)
         if encoded is None:
+            self.left_out_notes[NoteRejection.authentication] += 1
             _log.warning('Note fails authentication.', source=source)
             return
         try:
@@ -209,15 +231,19 @@
             if note is not None:
                 self._handle_note(note, source)
         except WireError as error:
+            self.left_out_notes[NoteRejection.encoding] += 1
             _log.warning('Note can not be decoded.', why=str(error))
 
     def _assemble(self, note: Note, source: str) -> Note | None:
         if note.fragment is None:
             return note
         assembler = self._assemblers.setdefault(source, NoteAssembler())
+        if assembler.is_outdated(note.fragment):
+            self.left_out_notes[NoteRejection.outdated] += 1
         return assembler.add(note.fragment)
 
     def _handle_note(self, note: Note, source: str) -> None:
+        self._note_positions(note)
         for update in note.updates:
             if update.stream in self._states:
                 self._merge(update, source)
@@ -233,6 +259,16 @@
         for event_note in (note, *map(decode_note, note.passed)):
             self.on_call_events(event_note)
 
+    def _note_positions(self, note: Note) -> None:
+        """Note how far the streams of the sender of a note have come."""
+        now = self._clock.monotonic()
+        positions = [(pull.stream, pull.position) for pull in note.pulls]
+        positions += [(update.stream, update.end) for update in note.updates]
+        for stream, position in positions:
+            state = self._states.get(stream)
+            if state is not None:
+                self.lags.note_peer(state, position, note.host, now)
+
     def _evidence_digest(self) -> int | None:
         return None if self.quarantine is None else self.quarantine.digest
 
@@ -295,15 +331,19 @@
             )
 
     def _merge(
-        self, update: StreamUpdate, source: str | None = None
+        self, update: StreamUpdate, source: str = STORE_SOURCE
     ) -> tuple[StreamEntry, ...]:
         state = self._states[update.stream]
-        merged = state.merge(update, self._clock.monotonic())
+        now = self._clock.monotonic()
+        merged = state.merge(update, now)
         if merged.has_gap:
             self._streams_to_pull.add(update.stream)
-            if source is not None:
+            if source != STORE_SOURCE:
                 self._pull(source, self._streams_to_pull)
             return ()
+        if merged.changed:
+            self.sources[update.stream] = source
+        self.lags.note_merge(state, source, now)
         if state.is_known:
             self._streams_to_pull.discard(update.stream)
         if self.on_change is not None:
@@ -311,4 +351,10 @@
         return merged.changed
 
 
-__all__ = ('GossipExchange', 'CallEventListener', 'StreamListener')
+__all__ = (
+    'STORE_SOURCE',
+    'CallEventListener',
+    'GossipExchange',
+    'NoteRejection',
+    'StreamListener',
+)
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
@@ -36,7 +37,8 @@
 
     ``list_hosts`` returns the names of the hosts that share the reads.
     ``on_registered_addresses`` is called once, with the peer addresses of all
-    hosts that the store lists. ``read_count`` counts reads of single streams.
+    hosts that the store lists. ``read_count`` counts reads of single streams,
+    ``failure_counts`` those that failed, by the name of the failure.
     """
 
     name = 'store-reader'
@@ -69,6 +71,8 @@
             Callable[[tuple[str, ...]], None] | None
         ) = None
         self.read_count = 0
+        self.failure_counts: Counter[str] = Counter()
+        self._last_failure = ''
 
     async def start(self) -> None:
         """Start to read the streams and to register this host."""
@@ -128,6 +132,8 @@
         self.read_count += 1
         result = await self._source.read(stream, state.position)
         if isinstance(result, Err):
+            self.failure_counts[result.err_value.name] += 1
+            self._last_failure = f'{stream}: {result.err_value.value}'
             _log.debug(
                 'Read failed.', stream=stream, why=result.err_value.value
             )
@@ -139,7 +145,9 @@
         is_lost = self._schedule.consecutive_failures >= _FAILURES_UNTIL_LOST
         if is_lost and not self._is_store_lost:
             _log.warning(
-                'Store is lost.', failures=self._schedule.consecutive_failures
+                'Store is lost.',
+                failures=self._schedule.consecutive_failures,
+                why=self._last_failure,
             )
         elif self._is_store_lost and not self._schedule.consecutive_failures:
             _log.info('Store is regained.')
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -288,6 +288,10 @@
         self._note_number = -1
         self._chunks: dict[int, bytes] = {}
 
+    def is_outdated(self, fragment: Fragment) -> bool:
+        """Return whether a fragment belongs to a note that is not kept."""
+        return fragment.note < self._note_number
+
     def add(self, fragment: Fragment) -> Note | None:
         """
         Add a fragment.
@@ -297,7 +301,7 @@
         """
         if fragment.count > _MAX_FRAGMENTS:
             raise WireError('note with too many fragments')
-        if fragment.note < self._note_number:
+        if self.is_outdated(fragment):
             return None
         if fragment.note > self._note_number:
             self._note_number = fragment.note
--- a/tests/replication/hosts.py
+++ b/tests/replication/hosts.py
@@ -127,6 +127,7 @@
         self.store = FakeStore()
         self.names = [f'h{number}' for number in range(count)]
         self.hosts = {name: self._make_host(name) for name in self.names}
+        self._restart_count = 0
 
     def run(self, scenario: Callable[[], Any]) -> None:
         """Start the hosts and run a scenario."""
@@ -164,6 +165,21 @@
         )
         return last_seen_at - started_at
 
+    async def restart(self, name: str, down_seconds: float = 1.0) -> None:
+        """Stop a host as planned and start a new process at its address."""
+        old = self.hosts[name]
+        for service in (old.reader, old.exchange):
+            await service.stop()
+        self.network.kill(name)
+        await asyncio.sleep(down_seconds)
+        self._restart_count += 1
+        self.network.attach_process(name, f'{name}/{self._restart_count}')
+        host = self._make_host(name)
+        self.hosts[name] = host
+        context = self.network.context(name)
+        for service in (host.exchange, host.reader):
+            await self.loop.create_task(service.start(), context=context)
+
     def _make_host(self, name: str) -> SimulatedHost:
         clock = VirtualClock(self.loop)
         random = Random(name)
