Assemble notes of hosts whatever the order of their numbers

Callers were refused, or served by the old service, as only an older configuration allows, and requests went to servers that were leaving: by a host that the store turned away, although every other host followed the new version.

Cause: notes larger than a datagram travel in fragments, and a host kept only those of the highest number that it had seen from an address. A host that restarts counts from 0 again, so its peers dropped its larger notes (a configuration of some routes, a whole stream as the answer to a pull) until it had sent as many as in its life before. The class: a number that counts within one process, compared with those of another process.

Change: a number only tells notes of a sender apart. Notes are assembled side by side, in any order, and dropped when idle for 2 s or beyond 10 MB for all senders together (there was an assembler for each address ever heard, for good). A host numbers its notes from the time of day on, so that no two processes share one, and so that hosts of older versions hear it while versions are mixed.

--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -47,6 +47,8 @@
 # A peer with the same records is only answered if the responder's last
 # confirmation of them is newer by more than this.
 _MIN_AGE_GAIN_MS: Final = 300
+# A process sends fewer notes than this many bits count in a millisecond.
+_NOTE_NUMBER_BITS: Final = 20
 # Instead of a digest, in evidence that needs no answer.
 _FINAL_EVIDENCE: Final = -1
 # The source of records that this host has read itself.
@@ -58,7 +60,7 @@
 
     authentication = 'it is not signed by a host'
     encoding = 'it can not be decoded'
-    outdated = 'it is older than one from the same address'
+    incomplete = 'some of its fragments have not arrived'
 
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
@@ -106,8 +108,10 @@
         self._keys = keys
         self._clock = clock
         self._random = random
-        self._last_note_number = 0
-        self._assemblers: dict[str, NoteAssembler] = {}
+        # Numbers of an earlier process are lower, unless the clock was set
+        # back. Hosts of older versions drop fragments with lower ones.
+        self._last_note_number = clock.wall_ms() << _NOTE_NUMBER_BITS
+        self._assembler = NoteAssembler()
         self._streams_to_pull: set[str] = set(streams)
         self.peers = KnownPeers(own_peer)
         self.lags = StreamLags()
@@ -237,10 +241,13 @@
     def _assemble(self, note: Note, source: str) -> Note | None:
         if note.fragment is None:
             return note
-        assembler = self._assemblers.setdefault(source, NoteAssembler())
-        if assembler.is_outdated(note.fragment):
-            self.left_out_notes[NoteRejection.outdated] += 1
-        return assembler.add(note.fragment)
+        assembled = self._assembler.add(
+            source, note.fragment, self._clock.monotonic()
+        )
+        self.left_out_notes[NoteRejection.incomplete] = (
+            self._assembler.abandoned_count
+        )
+        return assembled
 
     def _handle_note(self, note: Note, source: str) -> None:
         self._note_positions(note)
--- a/src/burdockledge/wire/__init__.py
+++ b/src/burdockledge/wire/__init__.py
@@ -28,6 +28,7 @@
     Release,
     Yield,
 )
+from burdockledge.wire._note_assembler import NoteAssembler
 from burdockledge.wire._notes import (
     DATAGRAM_PAYLOAD_BYTES,
     CallEnded,
@@ -37,7 +38,6 @@
     CrashSuspect,
     Fragment,
     Note,
-    NoteAssembler,
     StreamEntry,
     StreamPull,
     StreamUpdate,
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -21,8 +21,6 @@
 
 # Payload that fits into an Ethernet frame beside the headers and the MAC.
 DATAGRAM_PAYLOAD_BYTES: Final = 1200
-_MAX_NOTE_BYTES: Final = 16 * 1024 * 1024
-_MAX_FRAGMENTS: Final = 4000
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +148,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Fragment:
-    """A fragment of the compressed note with the number ``note``."""
+    """
+    A fragment of a compressed note.
+
+    ``note`` is a number that no other note of its sender bears, also of the
+    sender's earlier processes.
+    """
 
     note: int
     index: int
@@ -276,54 +279,6 @@
     ]
 
 
-class NoteAssembler:
-    """
-    Assembles notes from the fragments of one sender.
-
-    Only fragments of the note with the highest number are kept.
-    """
-
-    def __init__(self) -> None:
-        """Create an assembler without fragments."""
-        self._note_number = -1
-        self._chunks: dict[int, bytes] = {}
-
-    def is_outdated(self, fragment: Fragment) -> bool:
-        """Return whether a fragment belongs to a note that is not kept."""
-        return fragment.note < self._note_number
-
-    def add(self, fragment: Fragment) -> Note | None:
-        """
-        Add a fragment.
-
-        :return: the note if this was its last missing fragment, else None.
-        :raises WireError: if the fragments can not form a note.
-        """
-        if fragment.count > _MAX_FRAGMENTS:
-            raise WireError('note with too many fragments')
-        if self.is_outdated(fragment):
-            return None
-        if fragment.note > self._note_number:
-            self._note_number = fragment.note
-            self._chunks = {}
-        self._chunks[fragment.index] = fragment.content
-        if len(self._chunks) < fragment.count:
-            return None
-        compressed = b''.join(
-            self._chunks.get(index, b'') for index in range(fragment.count)
-        )
-        self._chunks = {}
-        return decode_note(_decompress(compressed))
-
-
-def _decompress(compressed: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    try:
-        return decompressor.decompress(compressed, _MAX_NOTE_BYTES)
-    except zlib.error as error:
-        raise WireError(f'note can not be decompressed: {error}') from error
-
-
 def _build_update_struct(update: StreamUpdate) -> Any:
     return ttypes.StreamUpdate(
         stream=update.stream,
@@ -365,7 +320,6 @@
     'CrashSuspect',
     'Fragment',
     'Note',
-    'NoteAssembler',
     'StreamEntry',
     'StreamPull',
     'StreamUpdate',
--- a/tests/replication/test_restarted_hosts.py
+++ b/tests/replication/test_restarted_hosts.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from burdockledge.wire import decode_note
 from tests.replication.hosts import (
+    KEYS,
     PROPAGATION_LIMIT_SECONDS,
     SimulatedCluster,
     isolate,
@@ -88,3 +90,29 @@
         assert elapsed < PROPAGATION_LIMIT_SECONDS
 
     cluster.run(scenario)
+
+
+def test_notes_of_a_restarted_host_have_higher_numbers() -> None:
+    """Guards against hosts of older versions that drop the lower numbers."""
+    cluster = SimulatedCluster(3)
+    cluster.store.write('first', b'1')
+    numbers: list[int] = []
+
+    def record_numbers(datagram: bytes, source: str) -> None:
+        encoded = KEYS.verify_datagram(b'note', datagram)
+        fragment = None if encoded is None else decode_note(encoded).fragment
+        if fragment is not None and source == 'h1':
+            numbers.append(fragment.note)
+
+    async def scenario() -> None:
+        await cluster.wait_for('first')
+        await cluster.network.sockets['h2'].open(record_numbers)
+        for number in range(3):
+            cluster.store.refused_hosts = {'h0', 'h2'}
+            cluster.store.write(f'news {number}', make_content(number, 3000))
+            await asyncio.sleep(2)
+            await cluster.restart('h1', 0.1)
+
+    cluster.run(scenario)
+    assert len(set(numbers)) >= 6
+    assert numbers == sorted(numbers)
