Read the newest records when the store cuts a read

A read of a topic holds 1,024 KB at most. A host took the end of such a response for the end of the topic: it counted itself fresh, told the others so, and read on one period later.

The class: freshness is claimed for less than was read. A cut read is now followed by a read of the newest record of each key, which is one record for a configuration.

--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -147,19 +147,26 @@
     async def _read_tail(
         self, stream: str, topic: str, position: int
     ) -> StreamUpdate | None:
-        """Return None if the position is not kept or the topic is missing."""
+        """
+        Return None if the records are to be read by their keys instead.
+
+        The position may not be kept, the topic be missing, or the response be
+        cut at its size limit: the newest record of each key takes fewer calls
+        then than what remains of the tail.
+        """
         query = {'topic': topic, 'part': '0', 'from': str(position)}
         status, body = await self._call('GET', names.READ_PATH, query)
         if status in {_GONE, _NOT_FOUND}:
             return None
         _require_ok(status)
         try:
-            end, entries = decode_tail(topic, body, position)
+            tail = decode_tail(topic, body, position)
         except StoreRecordsError as error:
             raise _StoreError(SourceFailure.unreadable) from error
-        return StreamUpdate(
-            stream, position, end, 0, _strip_heartbeats(stream, entries), False
-        )
+        if tail.is_cut:
+            return None
+        entries = _strip_heartbeats(stream, tail.entries)
+        return StreamUpdate(stream, position, tail.end, 0, entries, False)
 
     async def _read_newest(self, stream: str, topic: str) -> StreamUpdate:
         pages = await self._read_newest_pages(topic)
--- a/src/burdockledge/platform/_store_records.py
+++ b/src/burdockledge/platform/_store_records.py
@@ -75,6 +75,20 @@
     next_after: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Tail:
+    """
+    The records of a topic from an offset on.
+
+    ``end`` is the offset to read from next. With ``is_cut`` the topic has
+    further records, which the response did not hold.
+    """
+
+    entries: tuple[StreamEntry, ...]
+    end: int
+    is_cut: bool
+
+
 def encode_record(key: str, content: bytes) -> bytes:
     """Return a record as the store takes it; without content, a removal."""
     encoded_key = key.encode()
@@ -82,14 +96,12 @@
     return _RECORD_LENGTH.pack(len(record)) + record
 
 
-def decode_tail(
-    topic: str, body: bytes, start: int
-) -> tuple[int, tuple[StreamEntry, ...]]:
+def decode_tail(topic: str, body: bytes, start: int) -> Tail:
     """
     Decode the response to a read of records from an offset on.
 
     :param start: the offset of the first record.
-    :return: the offset to read from next, and the readable records.
+    :return: the readable records.
     :raises StoreRecordsError: if the body is no such response.
     """
     if len(body) < _READ_HEADER.size:
@@ -106,7 +118,7 @@
         else:
             entries.append(entry)
         next_offset += 1
-    return min(end, next_offset), tuple(entries)
+    return Tail(tuple(entries), min(end, next_offset), next_offset < end)
 
 
 def decode_newest_page(topic: str, body: bytes) -> NewestPage:
@@ -178,6 +190,7 @@
 __all__ = (
     'NewestPage',
     'StoreRecordsError',
+    'Tail',
     'decode_host_address',
     'decode_newest_page',
     'decode_tail',
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -18,13 +18,15 @@
     ``first_offsets`` the first offset that a read may start from, by topic;
     ``next_statuses`` the error statuses of the next calls. ``raw_records``
     and ``raw_items`` replace records, by topic and offset, as they are sent
-    by the two ways of reading.
+    by the two ways of reading. ``read_bytes`` is the size at which a read is
+    cut.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
     first_offsets: dict[str, int] = field(default_factory=dict)
     next_statuses: list[int] = field(default_factory=list)
     page_size: int = 500
+    read_bytes: int = 1024 * 1024
     raw_records: dict[tuple[str, int], bytes] = field(default_factory=dict)
     raw_items: dict[tuple[str, int], object] = field(default_factory=dict)
 
@@ -61,6 +63,8 @@
             record = bytes((len(key),)) + key.encode() + content
             record = self.raw_records.get((topic, offset), record)
             body += struct.pack('>I', len(record)) + record
+            if len(body) >= self.read_bytes:
+                break
         return web.Response(body=body)
 
     def _read_newest(self, topic: str, after: str) -> web.Response:
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -68,6 +68,25 @@
     run_with_store(store, test)
 
 
+@pytest.mark.parametrize('read_bytes', [100, 3000, 1024 * 1024])
+def test_read_that_the_store_cuts_reaches_the_newest_records(
+    read_bytes: int,
+) -> None:
+    """Guards against a host that takes the middle of a topic for its end."""
+    store = StandInStore({'keyed.op': [('config', b'0')]})
+    store.read_bytes = read_bytes
+
+    async def test(client: StoreClient) -> None:
+        records = store.topics['keyed.op']
+        records += [('config', bytes(1000)) for _ in range(9)]
+        records.append(('config', b'newest'))
+        update = (await client.read(CONFIGURATION_STREAM, 1)).unwrap()
+        assert update.end == len(records)
+        assert update.entries[-1].content == b'newest'
+
+    run_with_store(store, test)
+
+
 def test_read_from_deleted_offset_returns_newest_records() -> None:
     """The newest record of each key replaces the deleted records."""
     store = StandInStore({'keyed.op': [('config', b'1')] * 5})
