Read each stream of the store by a schedule of its own

While reads of the configuration failed (its partition was down, or its page could not be read), no host read the servers any more, also those that started: after a failure the streams were read one by one up to the first that failed, the configuration first. A server that left or came was not noticed until the configuration could be read again. The class: two streams of which each can fail share one fate.

Each stream now has its duty, its schedule and its backoff. 'Store is lost.' names the stream and why.

As many reads as before.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -34,7 +34,6 @@
     EvidenceKeeper,
     GossipExchange,
     Peer,
-    ReadSchedule,
     StoreReader,
 )
 from burdockledge.settings_watcher import SettingsWatcher
@@ -125,7 +124,6 @@
             clock,
             random,
         )
-        self.read_schedule = ReadSchedule(_read_period_seconds(settings))
         store_client = StoreClient(settings.store_address, session, clock)
         self.store_reader = StoreReader(
             settings.host,
@@ -133,7 +131,7 @@
             STREAMS,
             store_client,
             self.exchange,
-            self.read_schedule,
+            _read_period_seconds(settings),
             clock,
             random,
         )
@@ -237,7 +235,7 @@
         self.routing_state.apply_retry_settings(
             _retry_budget_settings(settings)
         )
-        self.read_schedule.set_period(_read_period_seconds(settings))
+        self.store_reader.set_period(_read_period_seconds(settings))
         _log.info(
             'Settings are reloaded.',
             seeds=len(settings.seeds),
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -5,11 +5,13 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from result import Err
 
 from burdockledge.kernel import TaskGroupService
+from burdockledge.replication._schedule import ReadSchedule
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -17,8 +19,7 @@
 
     from burdockledge.clock import Clock
     from burdockledge.replication._exchange import GossipExchange
-    from burdockledge.replication._schedule import ReadSchedule
-    from burdockledge.replication._source import RecordSource
+    from burdockledge.replication._source import RecordSource, SourceFailure
 
 _log = make_logger('reader')
 
@@ -35,10 +36,12 @@
     """
     Keeps the streams up to date and registers this host in the store.
 
-    ``list_hosts`` returns the names of the hosts that share the reads.
-    ``on_registered_addresses`` is called once, with the peer addresses of all
-    hosts that the store lists. ``read_count`` counts reads of single streams,
-    ``failure_counts`` those that failed, by the name of the failure.
+    Each stream has a schedule of its own, so that one that fails does not
+    delay the others. ``list_hosts`` returns the names of the hosts that share
+    the reads. ``on_registered_addresses`` is called once, with the peer
+    addresses of all hosts that the store lists. ``read_count`` counts reads of
+    single streams, ``failure_counts`` those that failed, by the name of the
+    failure.
     """
 
     name = 'store-reader'
@@ -50,110 +53,101 @@
         streams: tuple[str, ...],
         source: RecordSource,
         exchange: GossipExchange,
-        schedule: ReadSchedule,
+        period_seconds: float,
         clock: Clock,
         random: Random,
     ) -> None:
-        """Create a reader that publishes its reads through an exchange."""
+        """
+        Create a reader that publishes its reads through an exchange.
+
+        :param period_seconds: how often one of the hosts reads each stream.
+        """
         super().__init__()
         self._own_host = own_host
         self._peer_address = peer_address
-        self._streams = streams
         self._source = source
         self._exchange = exchange
-        self._schedule = schedule
+        self._schedules = {
+            stream: ReadSchedule(period_seconds) for stream in streams
+        }
         self._clock = clock
         self._random = random
         self._first_read_at = 0.0
-        self._is_store_lost = False
+        self._lost_streams: set[str] = set()
         self.list_hosts: Callable[[], list[str]] = list
         self.on_registered_addresses: (
             Callable[[tuple[str, ...]], None] | None
         ) = None
         self.read_count = 0
         self.failure_counts: Counter[str] = Counter()
-        self._last_failure = ''
 
     async def start(self) -> None:
         """Start to read the streams and to register this host."""
         first_wait = self._random.uniform(0.2, 1) * _STARTUP_WAIT_SECONDS
         self._first_read_at = self._clock.monotonic() + first_wait
-        self.supervise(self._read_forever)
+        for stream in self._schedules:
+            self.supervise(partial(self._read_forever, stream))
         self.supervise(self._register_and_list_hosts)
 
-    async def _read_forever(self) -> None:
+    def set_period(self, period_seconds: float) -> None:
+        """Set how often one of the hosts reads each stream, in seconds."""
+        for schedule in self._schedules.values():
+            schedule.set_period(period_seconds)
+
+    async def _read_forever(self, stream: str) -> None:
         while True:
-            wait = self._due_at() - self._clock.monotonic()
+            wait = self._due_at(stream) - self._clock.monotonic()
             if wait > 0:
                 await asyncio.sleep(max(wait, _MIN_SLEEP_SECONDS))
                 continue
-            await self._read()
-
-    def _due_at(self) -> float:
-        fresh_times = [
-            self._exchange.state(stream).fresh_at for stream in self._streams
-        ]
-        known_times = [
-            fresh_at for fresh_at in fresh_times if fresh_at is not None
-        ]
-        if len(known_times) < len(fresh_times):
-            due_at = self._first_read_at
-            if self._schedule.consecutive_failures:
-                due_at = self._clock.monotonic()
-            return max(due_at, self._retry_at())
-        return self._schedule.due_at(
-            self._own_host,
-            self.list_hosts(),
-            min(known_times),
-            self._random.random(),
-        )
-
-    def _retry_at(self) -> float:
-        return self._schedule.due_at(
+            await self._read(stream)
+
+    def _due_at(self, stream: str) -> float:
+        schedule = self._schedules[stream]
+        fresh_at = self._exchange.state(stream).fresh_at
+        if fresh_at is not None:
+            return schedule.due_at(
+                self._own_host,
+                self.list_hosts(),
+                fresh_at,
+                self._random.random(),
+            )
+        # The first read waits for the peers only; retries follow the backoff.
+        retry_at = schedule.due_at(
             self._own_host, (), self._first_read_at - 1, self._random.random()
         )
+        return max(self._first_read_at, retry_at)
 
-    async def _read(self) -> None:
-        if self._schedule.consecutive_failures:
-            # After a failure, read one stream at a time to limit the load.
-            succeeded = True
-            for stream in self._streams:
-                succeeded = succeeded and await self._read_stream(stream)
-        else:
-            results = await asyncio.gather(
-                *(self._read_stream(stream) for stream in self._streams),
-            )
-            succeeded = all(results)
-        self._schedule.record_read(succeeded, self._clock.monotonic())
-        self._update_is_store_lost()
-
-    async def _read_stream(self, stream: str) -> bool:
-        state = self._exchange.state(stream)
+    async def _read(self, stream: str) -> None:
         self.read_count += 1
-        result = await self._source.read(stream, state.position)
+        result = await self._source.read(
+            stream, self._exchange.state(stream).position
+        )
+        self._schedules[stream].record_read(
+            result.is_ok(), self._clock.monotonic()
+        )
         if isinstance(result, Err):
-            self.failure_counts[result.err_value.name] += 1
-            self._last_failure = f'{stream}: {result.err_value.value}'
-            _log.debug(
-                'Read failed.', stream=stream, why=result.err_value.value
-            )
-            return False
+            self._note_failure(stream, result.err_value)
+            return
+        if stream in self._lost_streams:
+            self._lost_streams.remove(stream)
+            _log.info('Store is regained.', stream=stream)
         self._exchange.publish(result.ok_value)
-        return True
 
-    def _update_is_store_lost(self) -> None:
-        is_lost = self._schedule.consecutive_failures >= _FAILURES_UNTIL_LOST
-        if is_lost and not self._is_store_lost:
+    def _note_failure(self, stream: str, failure: SourceFailure) -> None:
+        self.failure_counts[failure.name] += 1
+        _log.debug('Read failed.', stream=stream, why=failure.value)
+        failures = self._schedules[stream].consecutive_failures
+        if failures >= _FAILURES_UNTIL_LOST and (
+            stream not in self._lost_streams
+        ):
+            self._lost_streams.add(stream)
             _log.warning(
                 'Store is lost.',
-                failures=self._schedule.consecutive_failures,
-                why=self._last_failure,
+                stream=stream,
+                failures=failures,
+                why=failure.value,
             )
-        elif self._is_store_lost and not self._schedule.consecutive_failures:
-            _log.info('Store is regained.')
-        self._is_store_lost = is_lost or bool(
-            self._is_store_lost and self._schedule.consecutive_failures
-        )
 
     async def _register_and_list_hosts(self) -> None:
         while not await self._source.register(
--- a/tests/replication/hosts.py
+++ b/tests/replication/hosts.py
@@ -16,7 +16,6 @@
 from burdockledge.replication import (
     GossipExchange,
     Peer,
-    ReadSchedule,
     RecordSource,
     SourceFailure,
     StoreReader,
@@ -36,6 +35,8 @@
     records: list[StreamEntry] = field(default_factory=list)
     refused_hosts: set[str] = field(default_factory=set)
     is_down: bool = False
+    # Streams whose partition is down while the others are served.
+    failing_streams: set[str] = field(default_factory=set)
     # Raised by the next read, as by bytes that nobody expected.
     next_error: Exception | None = None
     read_count: int = 0
@@ -64,7 +65,11 @@
         error, self._store.next_error = self._store.next_error, None
         if error is not None:
             raise error
-        if self._store.is_down or self._host in self._store.refused_hosts:
+        if (
+            self._store.is_down
+            or self._host in self._store.refused_hosts
+            or stream in self._store.failing_streams
+        ):
             return Err(SourceFailure.unavailable)
         end = len(self._store.records)
         is_whole = position < 0
@@ -120,8 +125,9 @@
 class SimulatedCluster:
     """Hosts in virtual time, each of which knows all the others."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, streams: tuple[str, ...] = ('s',)) -> None:
         """Create the hosts without starting them."""
+        self._streams = streams
         self.loop = VirtualTimeLoop()
         self.network = FakeNetwork()
         self.store = FakeStore()
@@ -184,14 +190,14 @@
         clock = VirtualClock(self.loop)
         random = Random(name)
         exchange = GossipExchange(
-            make_peer(name), ('s',), FakeDatagramSocket(self.network, name),
-            KEYS, clock, random,
+            make_peer(name), self._streams,
+            FakeDatagramSocket(self.network, name), KEYS, clock, random,
         )  # fmt: skip
         others = [make_peer(other) for other in self.names if other != name]
         exchange.peers.replace(others)
         reader = StoreReader(
-            name, name, ('s',), FakeStoreClient(self.store, name), exchange,
-            ReadSchedule(READ_PERIOD_SECONDS), clock, random,
+            name, name, self._streams, FakeStoreClient(self.store, name),
+            exchange, READ_PERIOD_SECONDS, clock, random,
         )  # fmt: skip
         reader.list_hosts = lambda: list(self.names)
         host = SimulatedHost(exchange, reader)
--- a/tests/replication/test_exchange.py
+++ b/tests/replication/test_exchange.py
@@ -75,6 +75,27 @@
     cluster.run(scenario)
 
 
+@pytest.mark.parametrize('hosts', [1, 9])
+@pytest.mark.parametrize('failing', ['first', 'second'])
+def test_a_stream_that_fails_does_not_delay_the_other(
+    hosts: int, failing: str
+) -> None:
+    """Guards against servers that leave unnoticed while another topic fails."""
+    cluster = SimulatedCluster(hosts, ('first', 'second'))
+    cluster.store.write('before', b'1')
+
+    async def scenario() -> None:
+        await cluster.wait_for('before')
+        cluster.store.failing_streams.add(failing)
+        for number in range(5):
+            await asyncio.sleep(3)
+            cluster.store.write(f'news {number}', b'2')
+            elapsed = await cluster.wait_for(f'news {number}')
+            assert elapsed < PROPAGATION_LIMIT_SECONDS
+
+    cluster.run(scenario)
+
+
 def test_next_host_reads_after_reader_is_killed() -> None:
     """After the host that reads is killed, another one reads in time."""
     cluster = SimulatedCluster(9)
