Let hosts that are ahead of a whole read pull it

A host that was behind read the newest record of each key, as the records before were deleted or the read was cut, and told the others what had changed since its own position, as if that were all. A host that was ahead of it and held a server that had come and gone since kept that server for good: calls went to it, and nothing put it right before the server registered anew or the host read the whole list itself. A server whose entry had changed to and fro, as well.

The class: an update claims to be complete for more than was compared.

After such a read the others are told its end only. Each of them sees a gap and pulls the whole stream.

--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -148,6 +148,10 @@
         increment = replace(
             update, start=former_position, entries=changed, is_whole=False
         )
+        if update.is_whole and update.end > former_position:
+            # It lacks what came and went since, which hosts that are ahead of
+            # this one may hold: they pull the whole stream instead.
+            increment = replace(increment, start=update.end, entries=())
         self._gossip(increment)
         if changed:
             self.spawn(self._resend_later(increment))
