Tell on what a later page of a whole read held already

A host that then read the stream on found these records unchanged, and left them out of what it told the others as complete: they kept a server that left as ready, or one that was gone, until its entry changed again. And a tail from a peer between the two positions put the older record back on the host itself.

It takes more servers than a page holds (500, or 1 MB) and a change while they are read.

The class: a position that says less than the records beside it.

test_news_that_a_later_page_held_already_reach_the_others and test_older_record_does_not_replace_that_of_a_later_page: 3 of 3 cases failed before, 0 now.

--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -4,9 +4,13 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from burdockledge.wire import StreamEntry, StreamUpdate
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 UNKNOWN_POSITION = -1
 _MS_PER_SECOND = 1000
 _MAX_AGE_MS = (1 << 31) - 1
@@ -115,30 +119,45 @@
         return self._apply((*removals, *newer))
 
     def _merge_tail(self, update: StreamUpdate) -> tuple[StreamEntry, ...]:
+        # Of a stream that is read in pages, later pages are newer than the
+        # position, and the hosts that follow this one lack their records.
+        early_keys = {
+            key
+            for key, entry in self._entries.items()
+            if entry.offset >= self.position
+        }
         newer = [
-            entry for entry in update.entries if entry.offset >= self.position
+            entry
+            for entry in update.entries
+            if entry.offset >= self.position and not self._is_older(entry)
         ]
-        return self._apply(tuple(newer))
+        return self._apply(tuple(newer), early_keys)
 
     def _is_newer(self, entry: StreamEntry) -> bool:
         known = self._entries.get(entry.key)
         return known is None or entry.offset > known.offset
 
+    def _is_older(self, entry: StreamEntry) -> bool:
+        known = self._entries.get(entry.key)
+        return known is not None and entry.offset < known.offset
+
     def _apply(
-        self, entries: tuple[StreamEntry, ...]
+        self,
+        entries: tuple[StreamEntry, ...],
+        early_keys: Collection[str] = (),
     ) -> tuple[StreamEntry, ...]:
         changed: dict[str, StreamEntry] = {}
         for entry in entries:
             known = self._entries.get(entry.key)
             if entry.content is None:
                 self._keep_removal(entry)
-                if known is not None:
-                    self._entries.pop(entry.key)
-                    changed[entry.key] = entry
+                self._entries.pop(entry.key, None)
+                changed[entry.key] = entry
                 continue
             self._removals.pop(entry.key, None)
             self._entries[entry.key] = entry
-            if known is None or known.content != entry.content:
+            is_same = known is not None and known.content == entry.content
+            if not is_same or entry.key in early_keys:
                 changed[entry.key] = entry
         return tuple(changed.values())
 
--- a/tests/replication/test_state.py
+++ b/tests/replication/test_state.py
@@ -72,6 +72,14 @@
     assert result.has_gap is has_gap
 
 
+def test_older_record_does_not_replace_that_of_a_later_page() -> None:
+    """Guards against a leaving server that is taken for ready again."""
+    state = known_state()
+    state.merge(whole_update(11, make_entry('a', 12, b'later')), 1)
+    state.merge(increment(11, 12, make_entry('a', 11, b'older')), 1)
+    assert [entry.content for entry in state.entries()] == [b'later']
+
+
 def test_unknown_stream_requires_whole_update() -> None:
     """An increment does not make an unknown stream known."""
     state = StreamState('s')
--- a/tests/replication/test_whole_reads.py
+++ b/tests/replication/test_whole_reads.py
@@ -72,3 +72,36 @@
             assert host.exchange.state('s').entries() == entries
 
     cluster.run(scenario)
+
+
+PAGES: dict[str, tuple[StreamEntry, ...]] = {
+    'changed': (StreamEntry('known', 2, b'2'),),
+    'removed': (),
+}
+
+
+@pytest.mark.parametrize('later_page', PAGES)
+def test_news_that_a_later_page_held_already_reach_the_others(
+    later_page: str,
+) -> None:
+    """Guards against a leaving server that only one host knows of."""
+    cluster = SimulatedCluster(2)
+    cluster.store.write('known', b'1')
+    first = StreamEntry('known', 0, b'1')
+    content = b'2' if PAGES[later_page] else None
+
+    async def scenario() -> None:
+        await cluster.wait_for('known')
+        cluster.store.is_down = True
+        reader, other = (cluster.hosts[name].exchange for name in ('h0', 'h1'))
+        # The first page says that the stream ends at 2, the next one is newer.
+        held = {reader: PAGES[later_page], other: (first,)}
+        for exchange, entries in held.items():
+            exchange.publish(StreamUpdate('s', 0, 2, 4, entries, True))
+        tail = (StreamEntry('known', 2, content),)
+        reader.publish(StreamUpdate('s', 2, 3, 4, tail, False))
+        await asyncio.sleep(2)
+        assert other.state('s').position == 3
+        assert other.state('s').entries() == PAGES[later_page]
+
+    cluster.run(scenario)
