Read the streams in turn while the whole store fails

Since each stream has a schedule of its own, a host retried each by itself while the store was down: twice the calls, which are priced and limited, and after the outage the second stream was read up to 1.5 s later than the first, as it waited for the end of its own backoff.

While all streams fail and no other host has read one, a host reads one at a time, in turn; once one succeeds, the others are read at once. A stream that fails alone doesn't delay the others, as before.

--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -27,6 +27,9 @@
 # peers before it reads the store; some round trips between data centres.
 _STARTUP_WAIT_SECONDS: Final = 0.1
 _MIN_SLEEP_SECONDS: Final = 0.02
+# How soon a stream is read once the read of another one has found that the
+# store is back.
+_TURN_SLEEP_SECONDS: Final = 0.1
 _REGISTRATION_RETRY_SECONDS: Final = 1.0
 # The store is logged as lost after this many failed reads in a row.
 _FAILURES_UNTIL_LOST: Final = 2
@@ -37,7 +40,8 @@
     Keeps the streams up to date and registers this host in the store.
 
     Each stream has a schedule of its own, so that one that fails does not
-    delay the others. ``list_hosts`` returns the names of the hosts that share
+    delay the others. While all fail they are read in turn, with the load of a
+    single one. ``list_hosts`` returns the names of the hosts that share
     the reads. ``on_registered_addresses`` is called once, with the peer
     addresses of all hosts that the store lists. ``read_count`` counts reads of
     single streams, ``failure_counts`` those that failed, by the name of the
@@ -73,6 +77,10 @@
         self._clock = clock
         self._random = random
         self._first_read_at = 0.0
+        # When this host began to read any stream, and the jitter of the turn
+        # after it.
+        self._last_begun_at = 0.0
+        self._turn_jitter = 0.0
         self._lost_streams: set[str] = set()
         self.list_hosts: Callable[[], list[str]] = list
         self.on_registered_addresses: (
@@ -98,11 +106,28 @@
         while True:
             wait = self._due_at(stream) - self._clock.monotonic()
             if wait > 0:
+                if self._is_store_failing():
+                    wait = min(wait, _TURN_SLEEP_SECONDS)
                 await asyncio.sleep(max(wait, _MIN_SLEEP_SECONDS))
                 continue
             await self._read(stream)
 
+    def _is_store_failing(self) -> bool:
+        return all(
+            schedule.is_failing(self._exchange.state(stream).fresh_at)
+            for stream, schedule in self._schedules.items()
+        )
+
     def _due_at(self, stream: str) -> float:
+        due_at = self._own_due_at(stream)
+        if not self._is_store_failing():
+            return due_at
+        backoff_seconds = self._schedules[stream].backoff_seconds(
+            self._turn_jitter
+        )
+        return max(due_at, self._last_begun_at + backoff_seconds)
+
+    def _own_due_at(self, stream: str) -> float:
         schedule = self._schedules[stream]
         fresh_at = self._exchange.state(stream).fresh_at
         if fresh_at is not None:
@@ -120,6 +145,9 @@
 
     async def _read(self, stream: str) -> None:
         self.read_count += 1
+        self._last_begun_at = self._clock.monotonic()
+        self._turn_jitter = self._random.random()
+        was_failing = self._is_store_failing()
         result = await self._source.read(
             stream, self._exchange.state(stream).position
         )
@@ -129,6 +157,9 @@
         if isinstance(result, Err):
             self._note_failure(stream, result.err_value)
             return
+        if was_failing:
+            for schedule in self._schedules.values():
+                schedule.end_backoff()
         if stream in self._lost_streams:
             self._lost_streams.remove(stream)
             _log.info('Store is regained.', stream=stream)
--- a/src/burdockledge/replication/_schedule.py
+++ b/src/burdockledge/replication/_schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.hashing import rank
@@ -14,6 +15,7 @@
 _DELAY_PERIODS_PER_RANK: Final = 0.3
 _MIN_RETRY_SECONDS: Final = 0.25
 _MAX_RETRY_SECONDS: Final = 1.5
+_MAX_DOUBLINGS: Final = 8
 
 
 class ReadSchedule:
@@ -72,13 +74,24 @@
         )
         if not self._consecutive_failures:
             return due_at
-        backoff_seconds = _MIN_RETRY_SECONDS * 2 ** min(
-            self._consecutive_failures - 1, 8
-        )
-        backoff_seconds = min(backoff_seconds, _MAX_RETRY_SECONDS) * (
-            1 + jitter / 2
-        )
-        return float(max(due_at, self._last_read_at + backoff_seconds))
+        return max(due_at, self._last_read_at + self.backoff_seconds(jitter))
+
+    def backoff_seconds(self, jitter: float) -> float:
+        """Return the least time between reads, 0 without failed ones."""
+        if not self._consecutive_failures:
+            return 0.0
+        doublings = min(self._consecutive_failures - 1, _MAX_DOUBLINGS)
+        seconds = _MIN_RETRY_SECONDS * math.pow(2, doublings)
+        return min(seconds, _MAX_RETRY_SECONDS) * (1 + jitter / 2)
+
+    def is_failing(self, fresh_at: float | None) -> bool:
+        """Return whether no host has read since this one last failed."""
+        is_fresh = fresh_at is not None and fresh_at > self._last_read_at
+        return bool(self._consecutive_failures) and not is_fresh
+
+    def end_backoff(self) -> None:
+        """Let this host read when it is due, whatever failed before."""
+        self._consecutive_failures = 0
 
 
 __all__ = ('ReadSchedule',)
