Send the age of an update along when it is sent again

An update with changes is sent a second time 40 ms later, with the age that it had at first. A host that was stopped in between sent news of long ago as news of now: the hosts at the same position put off their next read by a period, and counted the store as read at that time.

--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -13,7 +13,7 @@
 from burdockledge.replication._call_events import CallEventSender
 from burdockledge.replication._groups import KnownPeers
 from burdockledge.replication._lag import StreamLags
-from burdockledge.replication._state import StreamState
+from burdockledge.replication._state import MAX_AGE_MS, StreamState
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
     CrashSuspect,
@@ -49,6 +49,7 @@
 _MIN_AGE_GAIN_MS: Final = 300
 # A process sends fewer notes than this many bits count in a millisecond.
 _NOTE_NUMBER_BITS: Final = 20
+_MS_PER_SECOND: Final = 1000
 # Instead of a digest, in evidence that needs no answer.
 _FINAL_EVIDENCE: Final = -1
 # The source of records that this host has read itself.
@@ -170,8 +171,12 @@
         )
 
     async def _resend_later(self, update: StreamUpdate) -> None:
+        published_at = self._clock.monotonic()
         await asyncio.sleep(_RESEND_DELAY_SECONDS)
-        self._gossip(update)
+        # The process may have been stopped for a long time meanwhile.
+        seconds = self._clock.monotonic() - published_at
+        age_ms = update.age_ms + round(seconds * _MS_PER_SECOND)
+        self._gossip(replace(update, age_ms=min(age_ms, MAX_AGE_MS)))
 
     def _gossip(self, update: StreamUpdate) -> None:
         addresses = self.peers.groups.pick_targets(self._random)
--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -13,7 +13,7 @@
 
 UNKNOWN_POSITION = -1
 _MS_PER_SECOND = 1000
-_MAX_AGE_MS = (1 << 31) - 1
+MAX_AGE_MS = (1 << 31) - 1
 # The newest removals are kept to send them to hosts that missed them; a host
 # that missed older ones is sent the whole stream.
 _MAX_KEPT_REMOVALS = 256
@@ -101,7 +101,7 @@
         It stays within what a message of the hosts holds, some 24 days.
         """
         age_ms = int((now - (self.fresh_at or now)) * _MS_PER_SECOND)
-        return min(max(0, age_ms), _MAX_AGE_MS)
+        return min(max(0, age_ms), MAX_AGE_MS)
 
     def _merge_whole(self, update: StreamUpdate) -> tuple[StreamEntry, ...]:
         keys = {entry.key for entry in update.entries}
@@ -171,4 +171,4 @@
             )
 
 
-__all__ = ('UNKNOWN_POSITION', 'MergeResult', 'StreamState')
+__all__ = ('MAX_AGE_MS', 'UNKNOWN_POSITION', 'MergeResult', 'StreamState')
