Pull a stream until the records that are known to be missing are here

A host that sees a gap pulls the stream every 0.15 s. Any later update of the stream ended that, also an outdated one or one from before the gap, so that after a lost answer the host waited for the comparison with a random peer, 0.2 to 0.5 s apart.

test_outdated_update_does_not_end_the_pull_of_a_gap: 2 of 2 cases failed before (no pull within 1 s, in a cluster of one host with a silent peer), 0 now.

--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -13,7 +13,11 @@
 from burdockledge.replication._call_events import CallEventSender
 from burdockledge.replication._groups import KnownPeers
 from burdockledge.replication._lag import StreamLags
-from burdockledge.replication._state import MAX_AGE_MS, StreamState
+from burdockledge.replication._state import (
+    MAX_AGE_MS,
+    UNKNOWN_POSITION,
+    StreamState,
+)
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
     CrashSuspect,
@@ -113,7 +117,8 @@
         # back. Hosts of older versions drop fragments with lower ones.
         self._last_note_number = clock.wall_ms() << _NOTE_NUMBER_BITS
         self._assembler = NoteAssembler()
-        self._streams_to_pull: set[str] = set(streams)
+        # The positions that are known to be missing here, by stream.
+        self._streams_to_pull = dict.fromkeys(streams, UNKNOWN_POSITION)
         self.peers = KnownPeers(own_peer)
         self.lags = StreamLags()
         self.sources: dict[str, str] = {}
@@ -353,15 +358,17 @@
         now = self._clock.monotonic()
         merged = state.merge(update, now)
         if merged.has_gap:
-            self._streams_to_pull.add(update.stream)
+            missing = self._streams_to_pull.get(update.stream, update.end)
+            self._streams_to_pull[update.stream] = max(missing, update.end)
             if source != STORE_SOURCE:
                 self._pull(source, self._streams_to_pull)
             return ()
         if merged.changed:
             self.sources[update.stream] = source
         self.lags.note_merge(state, source, now)
-        if state.is_known:
-            self._streams_to_pull.discard(update.stream)
+        missing = self._streams_to_pull.get(update.stream, UNKNOWN_POSITION)
+        if state.is_known and state.position >= missing:
+            self._streams_to_pull.pop(update.stream, None)
         if self.on_change is not None:
             self.on_change(update.stream, merged.changed)
         return merged.changed
