Add a failing test of kept evidence that is renewed by a restart

The store keeps the evidence of a block with its age at the write. A host that starts takes it for that young, whatever time has passed, and so for newer than a release that the other hosts know: when they exchange evidence, all block the part again. It takes a release whose removal from the store did not succeed before the restart. The class: an age that is read without the time since it was taken.

--- a/tests/replication/test_evidence_keeper.py
+++ b/tests/replication/test_evidence_keeper.py
@@ -107,6 +107,34 @@
     run_hosts(scenario)
 
 
+def test_a_restart_does_not_renew_evidence_that_was_cleared() -> None:
+    """Guards against hosts that block a released part again as one restarts."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(CRASHES, [], loop.time())
+        await asyncio.sleep(60)
+        running = hosts.quarantines['h1']
+        # The store is down, so that the block is not dropped from it.
+        hosts.store.is_down = True
+        running.release(BAD, 5, loop.time())
+        await asyncio.sleep(60)
+        await hosts.stop()
+        hosts.store.is_down = False
+        await hosts.start()
+        await asyncio.sleep(0.1)
+        restarted = hosts.quarantines['h2']
+        assert BAD in restarted.blocked
+        for one, other in ((restarted, running), (running, restarted)):
+            one.merge(*other.entries(loop.time()), loop.time())
+        assert not running.blocked
+        assert not restarted.blocked
+
+    run_hosts(scenario)
+
+
 @pytest.mark.parametrize(
     ('key', 'content'), [(str(BAD), b'\xff'), ('other', b'{}')]
 )
