--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -13,7 +13,11 @@
 from burdockledge.replication._call_events import CallEventSender
 from burdockledge.replication._groups import KnownPeers
 from burdockledge.replication._lag import StreamLags
-from burdockledge.replication._state import StreamState
+from burdockledge.replication._state import (
+    MAX_AGE_MS,
+    UNKNOWN_POSITION,
+    StreamState,
+)
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
     CrashSuspect,
@@ -49,6 +53,7 @@
 _MIN_AGE_GAIN_MS: Final = 300
 # A process sends fewer notes than this many bits count in a millisecond.
 _NOTE_NUMBER_BITS: Final = 20
+_MS_PER_SECOND: Final = 1000
 # Instead of a digest, in evidence that needs no answer.
 _FINAL_EVIDENCE: Final = -1
 # The source of records that this host has read itself.
@@ -112,7 +117,8 @@
         # back. Hosts of older versions drop fragments with lower ones.
         self._last_note_number = clock.wall_ms() << _NOTE_NUMBER_BITS
         self._assembler = NoteAssembler()
-        self._streams_to_pull: set[str] = set(streams)
+        # The positions that are known to be missing here, by stream.
+        self._streams_to_pull = dict.fromkeys(streams, UNKNOWN_POSITION)
         self.peers = KnownPeers(own_peer)
         self.lags = StreamLags()
         self.sources: dict[str, str] = {}
@@ -148,6 +154,10 @@
         increment = replace(
             update, start=former_position, entries=changed, is_whole=False
         )
+        if update.is_whole and update.end > former_position:
+            # It lacks what came and went since, which hosts that are ahead of
+            # this one may hold: they pull the whole stream instead.
+            increment = replace(increment, start=update.end, entries=())
         self._gossip(increment)
         if changed:
             self.spawn(self._resend_later(increment))
@@ -166,8 +176,12 @@
         )
 
     async def _resend_later(self, update: StreamUpdate) -> None:
+        published_at = self._clock.monotonic()
         await asyncio.sleep(_RESEND_DELAY_SECONDS)
-        self._gossip(update)
+        # The process may have been stopped for a long time meanwhile.
+        seconds = self._clock.monotonic() - published_at
+        age_ms = update.age_ms + round(seconds * _MS_PER_SECOND)
+        self._gossip(replace(update, age_ms=min(age_ms, MAX_AGE_MS)))
 
     def _gossip(self, update: StreamUpdate) -> None:
         addresses = self.peers.groups.pick_targets(self._random)
@@ -344,15 +358,17 @@
         now = self._clock.monotonic()
         merged = state.merge(update, now)
         if merged.has_gap:
-            self._streams_to_pull.add(update.stream)
+            missing = self._streams_to_pull.get(update.stream, update.end)
+            self._streams_to_pull[update.stream] = max(missing, update.end)
             if source != STORE_SOURCE:
                 self._pull(source, self._streams_to_pull)
             return ()
         if merged.changed:
             self.sources[update.stream] = source
         self.lags.note_merge(state, source, now)
-        if state.is_known:
-            self._streams_to_pull.discard(update.stream)
+        missing = self._streams_to_pull.get(update.stream, UNKNOWN_POSITION)
+        if state.is_known and state.position >= missing:
+            self._streams_to_pull.pop(update.stream, None)
         if self.on_change is not None:
             self.on_change(update.stream, merged.changed)
         return merged.changed
