Let the soak restart hosts while the store turns others away, and give notices

Callers saw an outdated configuration and calls to servers that had said they leave; the soak could not find it. Its hosts were never turned away by the store while the others restarted, its configurations fitted into one datagram, its servers gave no notice, and its store held sound entries only.

New faults: reject_hosts_around_restarts (one or a third of the hosts turned away with 503, 429, reset or silence, while a configuration of several datagrams changes, keys and routes come and go, and servers are replaced), write_odd_entries, retire_server and pause_server. A prober sends requests that need the latest changes to every host.

New invariants, one function each: removed_routes_are_dropped, added_items_are_accepted, added_items_stay, leaving_notices_are_kept, pauses_are_kept. A host that the store turns away is judged by the bound of the configuration stretched by max_skew_ms. Outages of the store are recorded when no host reads well, also if several faults add up to that. The oracle is split into three modules; its other checks are as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from pathlib import Path
 
+from tests.soak._faults import INJECTORS
 from tests.soak._mutations import MUTATIONS
 from tests.soak._run import Plan, run_soak
 
@@ -30,6 +31,13 @@
         choices=MUTATIONS,
         help='mutation of the product code to apply',
     )
+    parser.add_argument(
+        '--only',
+        choices=INJECTORS,
+        action='append',
+        default=[],
+        help='a kind of fault to inject, instead of all',
+    )
     parser.add_argument('--kept', type=Path, default=Path('target/soak'))
     arguments = parser.parse_args()
     started_at = time.monotonic()
@@ -41,6 +49,7 @@
             arguments.hosts,
             arguments.callers,
             arguments.plant,
+            tuple(arguments.only),
         )
         violations = run_soak(plan, arguments.kept)
         failed += bool(violations)
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from tests.soak._configuration import SoakConfiguration
 from tests.soak._hosts import PORTS, SoakHost
 from tests.soak._record import KINDS, STREAM_KINDS, Outcome, Record
 
@@ -17,29 +18,33 @@
 _RESOLVE_RETRY_SECONDS = 0.3
 # Share of the streams whose prompts hold the fatal part while there is one.
 FATAL_SHARE = 0.2
+# Share of the requests on routes that were added, once there are any.
+ADDED_ROUTE_SHARE = 0.2
+_PROBED_CHANGES = 20
 
 
 class SoakCaller:
     """A client that sends requests to random hosts, one after another."""
 
+    pause_seconds = 0.08
+
     def __init__(
         self,
         number: int,
         hosts: list[SoakHost],
-        keys: list[str],
+        configuration: SoakConfiguration,
         record: Record,
         random: Random,
     ) -> None:
         """Create a caller that knows no host addresses yet."""
         self._name = f'c{number}'
         self._hosts = {host.ip: host for host in hosts}
-        self._keys = keys
+        self._configuration = configuration
         self._record = record
         self._random = random
         self._request_count = 0
         self._resolved_ips: list[str] = []
         self._resolution_expires_at = 0.0
-        self.pause_seconds = 0.08
         self.is_stopped = False
 
     async def run(self) -> None:
@@ -60,12 +65,27 @@
             return
         ip = self._random.choice(self._resolved_ips)
         kind = self._random.choice(KINDS)
+        route = ''
+        added_routes = self._configuration.added_routes
+        if added_routes and self._random.random() < ADDED_ROUTE_SHARE:
+            route = self._random.choice(added_routes)
+            kind = route.partition('-')[0]
+        key = self._random.choice(self._configuration.keys)
+        await self._request(session, ip, kind, key, route)
+
+    async def _request(
+        self,
+        session: aiohttp.ClientSession,
+        ip: str,
+        kind: str,
+        key: str,
+        route: str,
+    ) -> None:
         self._request_count += 1
         outcome = Outcome(
-            f'{self._name}-{self._request_count}', kind,
-            self._random.choice(self._keys), self._hosts[ip].name,
-            self._hosts[ip].pid, time.monotonic(),
-            patience=TIMEOUTS_SECONDS[kind],
+            f'{self._name}-{self._request_count}', kind, key,
+            self._hosts[ip].name, self._hosts[ip].pid, time.monotonic(),
+            patience=TIMEOUTS_SECONDS[kind], route=route,
         )  # fmt: skip
         self._record.outcomes.append(outcome)
         try:
@@ -80,7 +100,8 @@
     async def _send(
         self, session: aiohttp.ClientSession, ip: str, outcome: Outcome
     ) -> None:
-        url = f'http://{ip}:{PORTS["front"]}/{outcome.kind}/{outcome.request}'
+        route = outcome.route or outcome.kind
+        url = f'http://{ip}:{PORTS["front"]}/{route}/{outcome.request}'
         headers = {
             'Host': 'soak.example',
             'Burdockledge-Request-Id': outcome.request,
@@ -95,6 +116,7 @@
             url, headers=headers, data=b'x' * 300, trace_request_ctx=trace
         ) as response:
             outcome.was_sent = True
+            outcome.answered_at = time.monotonic()
             outcome.status = response.status
             outcome.signature = response.headers.get(
                 'Burdockledge-Response-Seal', ''
@@ -133,3 +155,17 @@
                 self._resolution_expires_at = (
                     time.monotonic() + resolved['ttl_s']
                 )
+
+
+class SoakProber(SoakCaller):
+    """Sends requests that need what changed lately, to every host in turn."""
+
+    pause_seconds = 0.03
+
+    async def _send_next_request(self, session: aiohttp.ClientSession) -> None:
+        changes = self._configuration.changes[-_PROBED_CHANGES:]
+        if not changes:
+            return
+        key, route = self._random.choice(changes)
+        ip = self._random.choice(list(self._hosts))
+        await self._request(session, ip, 'lookup', key, route)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -4,32 +4,33 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
+from tests.soak._access_faults import ACCESS_FAULTS
+from tests.soak._fault import Fault, Injector
+from tests.soak._notice_faults import NOTICE_FAULTS
 from tests.soak._proxy import LINK_FAULTS, PASS_THROUGH
 from tests.soak._record import Span
 from tests.soak._servers import SERVER_FAULTS
 from tests.soak._store import STORE_FAULTS
 
 if TYPE_CHECKING:
-    from tests.soak._run import SoakRun
+    from collections.abc import Collection
 
+    from tests.soak._run import SoakRun
 
-@dataclass(frozen=True)
-class Fault:
-    """A scheduled fault; ``draw`` seeds the choice of its target."""
+# Share of the seeds that have each of these faults.
+ACCESS_FAULT_SHARE = 0.7
 
-    at: float
-    kind: str
-    seconds: float
-    draw: int
 
+def draw_schedule(
+    seed: int, seconds: float, kinds: Collection[str] = ()
+) -> list[Fault]:
+    """Return the faults drawn from a seed; they may overlap.
 
-def draw_schedule(seed: int, seconds: float) -> list[Fault]:
-    """Return the faults drawn from a seed; they may overlap."""
+    :param kinds: the only kinds of faults to return; empty for all.
+    """
     random = Random(seed)
     faults: list[Fault] = []
     at = random.uniform(1, 2)
@@ -50,7 +51,20 @@
                 random.getrandbits(32),
             )
         )
-    return sorted(faults, key=lambda fault: fault.at)
+    random = Random(f'{seed} access and notices')
+    for kind in (*ACCESS_FAULTS, *NOTICE_FAULTS):
+        fault = Fault(
+            random.uniform(1, 4),
+            kind,
+            seconds - random.uniform(5, 7),
+            random.getrandbits(32),
+        )
+        if random.random() < ACCESS_FAULT_SHARE or kind in kinds:
+            faults.append(fault)
+    return sorted(
+        (fault for fault in faults if not kinds or fault.kind in kinds),
+        key=lambda fault: fault.at,
+    )
 
 
 async def stop_host(soak_run: SoakRun, fault: Fault, random: Random) -> None:
@@ -95,13 +109,9 @@
     names = [host.name for host in soak_run.hosts]
     affected_hosts = random.sample(names, random.randint(1, len(names)))
     kind = random.choice(STORE_FAULTS)
-    if len(affected_hosts) == len(names):
-        soak_run.store.record_fault(fault.seconds)
-    for name in affected_hosts:
-        soak_run.store.faults[name] = kind
+    soak_run.store.inject(affected_hosts, kind)
     await asyncio.sleep(fault.seconds)
-    for name in affected_hosts:
-        soak_run.store.faults.pop(name, None)
+    soak_run.store.lift(affected_hosts)
 
 
 async def delete_store_history(
@@ -135,9 +145,12 @@
     soak_run: SoakRun, fault: Fault, random: Random
 ) -> None:
     """Delay, reset or drop the traffic between hosts and a server."""
-    proxy = random.choice(soak_run.servers).proxy
+    server = random.choice(soak_run.servers)
+    proxy = server.proxy
     now = soak_run.now()
-    soak_run.record.link_faults.append(Span(now, now + fault.seconds))
+    soak_run.record.link_faults.append(
+        Span(now, now + fault.seconds, server.name)
+    )
     proxy.mode = random.choice(LINK_FAULTS)
     await asyncio.sleep(fault.seconds)
     proxy.mode = PASS_THROUGH
@@ -145,7 +158,7 @@
 
 async def revoke_key(soak_run: SoakRun, fault: Fault, random: Random) -> None:
     """Revoke one of the revocable keys."""
-    soak_run.revoke_next_key()
+    soak_run.configuration.revoke_key()
 
 
 async def increase_load(
@@ -171,7 +184,6 @@
     await soak_run.limit_server(random, fault.seconds)
 
 
-Injector = Callable[['SoakRun', Fault, Random], Awaitable[None]]
 FAULTS: dict[str, Injector] = {
     injector.__name__: injector
     for injector in (
@@ -193,3 +205,6 @@
 SERVER_RULE_FAULTS: dict[str, Injector] = {
     injector.__name__: injector for injector in (set_fatal_part, limit_server)
 }
+INJECTORS: dict[str, Injector] = (
+    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS
+)
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
 import sys
 import time
 from pathlib import Path
 
-from tests.soak._oracle import (
+from tests.soak._bounds import (
     CONFIGURATION_SECONDS,
     DRAIN_SECONDS,
     RETRY_RATIO,
@@ -24,6 +25,7 @@
 PORTS = {'front': 8227, 'readiness': 8220, 'control': 8229, 'directory': 8224}
 _INTERNAL_PORT_RANGE = (7340, 7355)
 _RESTART_SECONDS = 0.3
+_RESTART_POLL_SECONDS = 0.02
 _STARTUP_SECONDS = 0.15
 _MEGABYTE = 1024 * 1024
 
@@ -111,6 +113,15 @@
         with contextlib.suppress(ProcessLookupError):
             os.kill(self.pid, signal_number)
 
+    async def restart(self, signal_number: signal.Signals) -> None:
+        """Stop the process with a signal; return once it was replaced."""
+        pid = self.pid
+        self.send_signal(signal_number, math.inf)
+        fault = self._record.host_faults[self.name][-1]
+        while self.pid == pid:
+            await asyncio.sleep(_RESTART_POLL_SECONDS)
+        fault.ended = time.monotonic()
+
     def record_usage(self) -> None:
         """Record the resident memory and open descriptors of the process."""
         with contextlib.suppress(OSError):
--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from burdockledge.host import RelayHost
-from burdockledge.platform import _calls, _servers
+from burdockledge.platform import PlatformDecoder, _calls, _servers, _store
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
     ReplicatedRoutingState,
@@ -17,6 +17,8 @@
     _stream_relay,
 )
 from burdockledge.relay import _relay as relay_module
+from burdockledge.replication import _exchange
+from burdockledge.scheduling._notices import ServerNotices
 
 
 def retry_executed_requests() -> None:
@@ -149,6 +151,65 @@
     RelayHost.start = start
 
 
+def drop_large_notes() -> None:
+    """Drop the notes to other hosts that do not fit into one datagram."""
+    original = _exchange.encode_note_datagrams
+
+    def encode_note_datagrams(note: Any, note_number: int) -> list[bytes]:
+        datagrams = original(note, note_number)
+        return datagrams if len(datagrams) == 1 else []
+
+    _exchange.encode_note_datagrams = encode_note_datagrams
+
+
+def fail_reads_at_odd_entries() -> None:
+    """Fail a whole read of servers if an entry of it can not be read."""
+    original = _store.decode_tail
+    decoder = PlatformDecoder()
+
+    def decode_tail(topic: str, body: bytes, start: int) -> Any:
+        end, entries = original(topic, body, start)
+        if topic == 'keyed.servers' and any(
+            entry.content
+            and decoder.decode_registration(entry.key, entry.content) is None
+            for entry in entries
+        ):
+            raise _store.StoreRecordsError
+        return end, entries
+
+    _store.decode_tail = decode_tail
+
+
+def return_to_older_versions() -> None:
+    """Return to the version before each new one after half a second."""
+    original = ReplicatedRoutingState._apply_configuration
+    contents: list[bytes] = []
+
+    def apply_configuration(self: Any, key: str, content: bytes) -> None:
+        original(self, key, content)
+        contents.append(content)
+        if len(contents) > 1:
+            asyncio.get_running_loop().call_later(
+                0.5, apply_older, self, key, contents[-2]
+            )
+
+    def apply_older(state: Any, key: str, content: bytes) -> None:
+        state._routes = None
+        original(state, key, content)
+
+    ReplicatedRoutingState._apply_configuration = apply_configuration
+
+
+def forget_leaving_notices() -> None:
+    """Send new work to servers that say in their answers that they leave."""
+    ServerNotices.note_leaving = lambda *_: False
+
+
+def forget_pauses() -> None:
+    """Send new work to servers that asked for a pause."""
+    ServerNotices.note_pause = lambda *_: False
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -165,5 +226,10 @@
         leak_sockets,
         refuse_check_route,
         exit_after_start,
+        drop_large_notes,
+        fail_reads_at_odd_entries,
+        return_to_older_versions,
+        forget_leaving_notices,
+        forget_pauses,
     )
 }
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -30,6 +30,8 @@
     ran: bool
     team: str | None
     spoilt: bool = False
+    # Start of the server in Unix milliseconds.
+    boot: int = 0
     # Parts of the prompt that other requests share.
     parts: tuple[str, ...] = ()
 
@@ -39,7 +41,8 @@
     """What a caller received for one request; times in seconds.
 
     ``status`` is None without a response, ``patience`` is the timeout, and
-    ``was_sent`` is set once the response headers arrived.
+    ``was_sent`` is set once the response headers arrived, at ``answered_at``.
+    ``route`` names an added route, and is empty for those of the start.
     """
 
     request: str
@@ -56,6 +59,8 @@
     events: list[int] = field(default_factory=list)
     is_cut: bool = False
     was_sent: bool = False
+    answered_at: float = 0.0
+    route: str = ''
 
 
 @dataclass
@@ -64,12 +69,28 @@
 
     began: float
     ended: float
+    # The server whose link it affects, if it is a fault of a link.
+    server: str = ''
 
     def touches(self, began: float, ended: float, slack: float = 0) -> bool:
         """Return whether an interval overlaps this one, within a slack."""
         return began <= self.ended + slack and ended >= self.began - slack
 
 
+@dataclass
+class Notice:
+    """A server's answer that says that it leaves, or that asks for a pause.
+
+    ``request`` is the answered request, ``pause_seconds`` None for leaving.
+    """
+
+    server: str
+    boot: int
+    request: str
+    at: float
+    pause_seconds: float | None = None
+
+
 @dataclass
 class NamedLimit:
     """Calls a second that a server took; times in monotonic seconds."""
@@ -96,8 +117,11 @@
     arrivals: list[Arrival] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
     teams: dict[str, str] = field(default_factory=dict)
-    # When the store confirmed the revocation of each key.
+    # When the store confirmed the revocation of each key, and the removal of
+    # each route.
     revoked: dict[str, float] = field(default_factory=dict)
+    # When the store confirmed each key and route that was added.
+    added: dict[str, float] = field(default_factory=dict)
     # A part under which servers end as their answers begin, if there is one,
     # and the times at which servers ended under each part.
     fatal_part: str | None = None
@@ -106,7 +130,10 @@
     limits: list[NamedLimit] = field(default_factory=list)
     # When each server announced that it is draining.
     drained: dict[str, float] = field(default_factory=dict)
+    notices: list[Notice] = field(default_factory=list)
+    # Faults of the store for all hosts, and hosts that it turned away.
     store_faults: list[Span] = field(default_factory=list)
+    rejections: dict[str, list[Span]] = field(default_factory=dict)
     link_faults: list[Span] = field(default_factory=list)
     host_faults: dict[str, list[Span]] = field(default_factory=dict)
     # Shutdowns by process id, and processes that were also killed or paused.
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -13,28 +13,17 @@
 from pathlib import Path
 from random import Random
 
-from tests.soak._callers import SoakCaller
-from tests.soak._faults import (
-    FAULTS,
-    SERVER_RULE_FAULTS,
-    Fault,
-    draw_schedule,
-)
+from tests.soak._callers import SoakCaller, SoakProber
+from tests.soak._configuration import SERVICES, SoakConfiguration
+from tests.soak._faults import INJECTORS, Fault, draw_schedule
 from tests.soak._hosts import SoakHost
 from tests.soak._oracle import find_violations
-from tests.soak._record import KINDS, NamedLimit, Record, Span
-from tests.soak._servers import SoakServer
+from tests.soak._record import NamedLimit, Record, Span
+from tests.soak._servers import LATE, MISSING, SoakServer
 from tests.soak._store import SoakStore
 
 _ZONES = ('a', 'b')
-_SERVICES = {
-    'order': 'book',
-    'lookup': 'book',
-    'draft': 'desk',
-    'check': 'desk',
-}
 _SERVERS_PER_SERVICE = 3
-_REVOCABLE_KEY_COUNT = 6
 _USAGE_INTERVAL_SECONDS = 2.0
 _LAG_SAMPLE_SECONDS = 0.05
 _REGISTRATION_LIFETIME_SECONDS = 3.6
@@ -47,13 +36,18 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """Parameters of one soak."""
+    """Parameters of one soak; ``kinds`` are the faults, empty for all."""
 
     seed: int
     seconds: float
     hosts: int = 4
     callers: int = 12
     mutation: str | None = None
+    kinds: tuple[str, ...] = ()
+
+    def schedule(self) -> list[Fault]:
+        """Return the faults to inject."""
+        return draw_schedule(self.seed, self.seconds, self.kinds)
 
 
 class SoakRun:
@@ -79,13 +73,7 @@
         ]  # fmt: skip
         self.servers: list[SoakServer] = []
         self.callers: list[SoakCaller] = []
-        self._keys = ['key-a', 'key-b']
-        self._revocable_keys = [
-            f'spare-{number}' for number in range(_REVOCABLE_KEY_COUNT)
-        ]
-        self.record.teams = {'key-a': 'team-a', 'key-b': 'team-b'}
-        self.record.teams.update(dict.fromkeys(self._revocable_keys, 'team-b'))
-        self._version = 0
+        self.configuration = SoakConfiguration(self.store, self.record)
         self._server_count = 0
         self._store_addresses: dict[str, str] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
@@ -116,21 +104,33 @@
             self._store_addresses[host.name], seeds, ttl_seconds
         )
 
-    def revoke_next_key(self) -> None:
-        """Revoke the next key with a new configuration version."""
-        if self._revocable_keys:
-            key = self._revocable_keys.pop()
-            self.record.revoked[key] = self._publish_configuration()
-
     async def replace_server(self, random: Random) -> None:
         """Start a server, then drain and stop one of the same service."""
-        replaced_server = random.choice(self.servers)
-        await self._add_server(replaced_server.service)
-        self.servers.remove(replaced_server)
+        replaced_server = await self._relieve(random)
         replaced_server.drain()
         await asyncio.sleep(_DRAIN_TO_STOP_SECONDS)
         await replaced_server.stop(is_crash=False)
 
+    async def retire_server(
+        self, random: Random, word: str, seconds: float
+    ) -> None:
+        """Start a server, then let one say in its answers that it leaves.
+
+        :param word: what it lets the store say, see ``STORE_WORDS``.
+        :param seconds: the time until then.
+        """
+        server = await self._relieve(random)
+        server.is_leaving = True
+        await asyncio.sleep(seconds)
+        if word == LATE:
+            server.drain()
+        elif word == MISSING:
+            server.unregister()
+        await asyncio.sleep(_DRAIN_TO_STOP_SECONDS)
+        # Hosts without its notice may still use a server that gave no word.
+        await server.stop(is_crash=True)
+        server.unregister()
+
     async def crash_server(self, random: Random, seconds: float) -> None:
         """Crash a server; restart it under its name or replace it.
 
@@ -156,6 +156,13 @@
         await asyncio.sleep(seconds)
         server.limit = None
 
+    async def _relieve(self, random: Random) -> SoakServer:
+        """Start a server, and take one of its service out of the choice."""
+        server = random.choice(self.servers)
+        await self._add_server(server.service)
+        self.servers.remove(server)
+        return server
+
     async def _crash(self, server: SoakServer, seconds: float) -> None:
         if server not in self.servers:
             return
@@ -174,10 +181,10 @@
             self._store_addresses[host.name] = await self.store.listen(
                 host.name, f'{self._subnet_prefix}.200'
             )
-        for service in sorted(set(_SERVICES.values())):
+        for service in sorted(set(SERVICES.values())):
             for _ in range(_SERVERS_PER_SERVICE):
                 await self._add_server(service)
-        self._publish_configuration()
+        self.configuration.publish()
         for host in self.hosts:
             self.write_settings(host, 2)
             await host.start(self.plan.mutation)
@@ -187,37 +194,47 @@
         self.record.started_at = self.now()
 
     def start_callers(self, count: int) -> list[asyncio.Task[None]]:
-        """Start callers and return their tasks."""
-        keys = [*self._keys * 4, *self._revocable_keys]
+        """Start callers and a prober, and return their tasks."""
         self.callers = [
-            SoakCaller(number, self.hosts, keys, self.record, Random(number))
+            SoakCaller(
+                number,
+                self.hosts,
+                self.configuration,
+                self.record,
+                Random(number),
+            )  # fmt: skip
             for number in range(count)
         ]
-        return [asyncio.create_task(one.run()) for one in self.callers]
+        self._prober = SoakProber(
+            count, self.hosts, self.configuration, self.record, Random(count)
+        )
+        return [
+            asyncio.create_task(one.run())
+            for one in (*self.callers, self._prober)
+        ]
 
     async def stop_callers(
         self, caller_tasks: list[asyncio.Task[None]]
     ) -> None:
         """Stop the callers and wait for their last requests."""
-        for caller in self.callers:
+        for caller in (*self.callers, self._prober):
             caller.is_stopped = True
         await asyncio.gather(*caller_tasks)
 
     async def _inject_faults(self) -> None:
         caller_tasks = self.start_callers(self.plan.callers)
-        self._spawn(self._record_usage())
-        self._spawn(self._measure_lag())
+        self.spawn(self._record_usage())
+        self.spawn(self._measure_lag())
         started_at = self.now()
-        for fault in draw_schedule(self.plan.seed, self.plan.seconds):
+        for fault in self.plan.schedule():
             await asyncio.sleep(max(0, started_at + fault.at - self.now()))
-            self._spawn(self._inject_fault(fault))
+            self.spawn(self._inject_fault(fault))
         await asyncio.sleep(max(0, started_at + self.plan.seconds - self.now()))
         self.record.ended_at = self.now()
         await self.stop_callers(caller_tasks)
 
     async def _inject_fault(self, fault: Fault) -> None:
-        injector = (FAULTS | SERVER_RULE_FAULTS)[fault.kind]
-        await injector(self, fault, Random(fault.draw))
+        await INJECTORS[fault.kind](self, fault, Random(fault.draw))
 
     async def _record_usage(self) -> None:
         while True:
@@ -250,47 +267,15 @@
             name or f'{service}-{self._server_count}', service, self.record,
             self.store, Random(self._server_count),
         )  # fmt: skip
-        server.on_end = lambda ended: self._spawn(
+        server.on_end = lambda ended: self.spawn(
             self._crash(ended, _RESTART_SECONDS)
         )
         zone = _ZONES[self._server_count % len(_ZONES)]
         await server.start(f'{self._subnet_prefix}.201', zone)
         self.servers.append(server)
 
-    def _publish_configuration(self) -> float:
-        self._version += 1
-        kinds = {
-            'order': 'unsafe', 'lookup': 'safe', 'draft': 'streaming',
-            'check': 'streaming',
-        }  # fmt: skip
-        return self.store.write_configuration(
-            {
-                'version': self._version,
-                'routes': [
-                    {
-                        'name': kind, 'hostname': 'soak.example',
-                        'path_prefix': f'/{kind}/', 'route_type': kinds[kind],
-                        'timeout_ms': 4000, 'target_latency_ms': 400,
-                        'priority': KINDS.index(kind) % 3,
-                        'backend': _SERVICES[kind], 'max_attempts': 2,
-                        'stream_resume': kind == 'check',
-                    }
-                    for kind in KINDS
-                ],
-                'backends': [
-                    {'name': name} for name in sorted(set(_SERVICES.values()))
-                ],
-                'tenants': [
-                    {'name': 'team-a', 'api_keys': ['key-a'], 'priority': 0},
-                    {
-                        'name': 'team-b', 'priority': 1,
-                        'api_keys': ['key-b', *self._revocable_keys],
-                    },
-                ],
-            }
-        )  # fmt: skip
-
-    def _spawn(self, work: object) -> None:
+    def spawn(self, work: object) -> None:
+        """Run work in the background until the end of the run."""
         task = asyncio.ensure_future(work)  # type: ignore[arg-type]
         self._background_tasks.add(task)
 
@@ -319,7 +304,7 @@
 ) -> None:
     plan = soak_run.plan
     shutil.copytree(work_dir, artifacts_dir, dirs_exist_ok=True)
-    faults = [asdict(one) for one in draw_schedule(plan.seed, plan.seconds)]
+    faults = [asdict(one) for one in plan.schedule()]
     (artifacts_dir / 'schedule.json').write_text(json.dumps(faults, indent=1))
     (artifacts_dir / 'record.json').write_text(
         json.dumps(asdict(soak_run.record), indent=1, default=str)
@@ -327,5 +312,6 @@
     (artifacts_dir / 'broken.txt').write_text('\n'.join((*violations, '')))
     (artifacts_dir / 'command.txt').write_text(
         f'python -m tests.soak --seed {plan.seed} --seconds {plan.seconds} '
-        f'--hosts {plan.hosts} --callers {plan.callers}\n'
+        f'--hosts {plan.hosts} --callers {plan.callers}'
+        f'{"".join(f" --only {kind}" for kind in plan.kinds)}\n'
     )
--- a/tests/soak/_servers.py
+++ b/tests/soak/_servers.py
@@ -12,7 +12,13 @@
 
 from tests.soak._oracle import expected_body
 from tests.soak._proxy import Proxy
-from tests.soak._record import EVENT_COUNT, STREAM_KINDS, Arrival, Record
+from tests.soak._record import (
+    EVENT_COUNT,
+    STREAM_KINDS,
+    Arrival,
+    Notice,
+    Record,
+)
 from tests.soak._store import SoakStore
 
 ERRORS = 'errors'
@@ -20,6 +26,12 @@
 HANG = 'hang'
 CUT = 'cut'
 SERVER_FAULTS = (ERRORS, SHED, HANG, CUT)
+# What a server that leaves lets the store say: that it is draining, that it is
+# gone, or nothing.
+LATE = 'late'
+MISSING = 'missing'
+NEVER = 'never'
+STORE_WORDS = (LATE, MISSING, NEVER)
 HEARTBEAT_SECONDS = 1.2
 _FAULT_SHARE = 0.4
 _WORK_SECONDS = (0.005, 0.12)
@@ -50,6 +62,11 @@
         self.fault: str | None = None
         # Calls a second that this server names in its answers.
         self.limit: float | None = None
+        # Whether it says in its answers that it leaves.
+        self.is_leaving = False
+        # It refuses requests with one of these as Retry-After, if there are
+        # any: the text, and the seconds if it is a number of them.
+        self.pauses: tuple[tuple[str, float | None], ...] = ()
         # Called when a request ends this server.
         self.on_end: Callable[[SoakServer], None] | None = None
 
@@ -88,8 +105,11 @@
         await self._runner.cleanup()
 
     def unregister(self) -> None:
-        """Remove the registration of a crashed server from the store."""
+        """Remove the registration of this server for good."""
+        if self._heartbeat_task is not None:
+            self._heartbeat_task.cancel()
         self._store.write_server(self.name, {})
+        self._record.drained.setdefault(self.name, time.monotonic())
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -112,10 +132,13 @@
         arrival = Arrival(
             request_id, self.service, self.name, time.monotonic(), ran=True,
             team=request.headers.get('Burdockledge-Tenant'),
-            parts=_shared_parts(request),
+            parts=_shared_parts(request), boot=self._born_ms,
         )  # fmt: skip
         self._record.arrivals.append(arrival)
         await request.read()
+        if self.pauses:
+            arrival.ran = False
+            return self._ask_for_pause(request_id)
         is_affected = self._random.random() < _FAULT_SHARE
         fault = self.fault if is_affected else None
         if fault == SHED:
@@ -124,7 +147,7 @@
                 status=503,
                 headers={
                     'Burdockledge-Not-Executed': '1',
-                    'Burdockledge-Request-Id': request_id,
+                    **self._plain_headers(request_id),
                 },
             )
         arrival.spoilt = fault is not None
@@ -132,9 +155,9 @@
             await asyncio.sleep(_HANG_SECONDS)
         if fault == ERRORS:
             return web.Response(
-                status=500, headers={'Burdockledge-Request-Id': request_id}
+                status=500, headers=self._plain_headers(request_id)
             )
-        kind = request.path.split('/')[1]
+        kind = request.path.split('/')[1].partition('-')[0]
         if kind in STREAM_KINDS:
             response = self._create_stream_response(request_id)
             if self._record.fatal_part in arrival.parts:
@@ -193,15 +216,42 @@
             await response.write(event[half:])
         await response.write_eof()
 
+    def _ask_for_pause(self, request_id: str) -> web.Response:
+        text, seconds = self._random.choice(self.pauses)
+        if seconds is not None:
+            self._note(request_id, seconds)
+        return web.Response(
+            status=503,
+            headers={
+                'Burdockledge-Not-Executed': '1',
+                'Retry-After': text,
+                **self._plain_headers(request_id),
+            },
+        )
+
+    def _note(self, request_id: str, pause_seconds: float | None) -> None:
+        self._record.notices.append(
+            Notice(
+                self.name, self._born_ms, request_id, time.monotonic(),
+                pause_seconds,
+            )
+        )  # fmt: skip
+
     def _headers(self, request_id: str) -> dict[str, str]:
-        headers = {
-            'Burdockledge-Request-Id': request_id,
-            'Burdockledge-Response-Seal': self.name,
-        }
+        headers = self._plain_headers(request_id)
+        headers['Burdockledge-Response-Seal'] = self.name
         if self.limit is not None:
             headers['Server-Limit'] = f'{self.limit:g}'
         return headers
 
+    def _plain_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of any answer."""
+        headers = {'Burdockledge-Request-Id': request_id}
+        if self.is_leaving:
+            self._note(request_id, None)
+            headers['Server-Leaving'] = '1'
+        return headers
+
 
 def _shared_parts(request: web.BaseRequest) -> tuple[str, ...]:
     parts = request.headers.get('Burdockledge-Prompt-Prefix', '').split(',')
--- a/tests/soak/_store.py
+++ b/tests/soak/_store.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import json
+import math
 import time
+from collections.abc import Callable
 from random import Random
 
 from aiohttp import web
 
 from tests.platform_adapter.standin_store import StandInStore
+from tests.soak._odd_entries import OddEntry
 from tests.soak._record import Record, Span
 
 DOWN = 'down'
@@ -17,6 +20,12 @@
 LOST_RESPONSE = 'lost'
 SILENT = 'silent'
 STORE_FAULTS = (DOWN, SLOW, LOST_RESPONSE, SILENT)
+# Ways in which the store turns a host away.
+LIMITED = 'limited'
+RESET = 'reset'
+REJECTIONS = (DOWN, LIMITED, RESET, SILENT)
+SERVERS_TOPIC = 'keyed.servers'
+HOSTS_TOPIC = 'keyed.hosts'
 _SLOW_SECONDS = 0.25
 _LOST_RESPONSE_SHARE = 0.4
 _SILENT_SECONDS = 30
@@ -27,11 +36,16 @@
 
     def __init__(self, record: Record, random: Random) -> None:
         """Create empty topics."""
-        self._store_server = StandInStore({'keyed.op': [], 'keyed.servers': []})
+        self._store_server = StandInStore(
+            {'keyed.op': [], SERVERS_TOPIC: [], HOSTS_TOPIC: []}
+        )
         self._record = record
         self._random = random
         self._runners: list[web.ServerRunner] = []
-        self.faults: dict[str, str] = {}
+        self._hosts: list[str] = []
+        self._faults: dict[str, str] = {}
+        self._rejections: dict[str, str] = {}
+        self._outage: Span | None = None
 
     async def listen(self, host: str, ip: str) -> str:
         """Listen for one host on a free port and return ``ip:port``."""
@@ -42,6 +56,7 @@
         runner = web.ServerRunner(web.Server(handle, access_log=None))
         await runner.setup()
         await web.TCPSite(runner, ip, 0).start()
+        self._hosts.append(host)
         self._runners.append(runner)
         return f'{ip}:{runner.addresses[0][1]}'
 
@@ -58,17 +73,61 @@
     def write_server(self, server: str, content: dict[str, object]) -> None:
         """Write the registration of a server; an empty one removes it."""
         payload = json.dumps(content).encode() if content else b''
-        self._write('keyed.servers', server, payload)
+        self._write(SERVERS_TOPIC, server, payload)
+
+    def write_odd_entry(self, topic: str, entry: OddEntry) -> None:
+        """Write an entry as another writer might."""
+        offset = len(self._store_server.topics[topic])
+        self._write(topic, f'odd-{offset}', entry.content)
+        if entry.record is not None:
+            self._store_server.raw_records[topic, offset] = entry.record
+        if entry.item is not None:
+            self._store_server.raw_items[topic, offset] = entry.item
+
+    def reject(self, hosts: list[str], kind: str) -> Callable[[], None]:
+        """Turn hosts away from now on; return what ends that."""
+        spans = []
+        for host in hosts:
+            spans.append(Span(time.monotonic(), math.inf))
+            self._record.rejections.setdefault(host, []).append(spans[-1])
+            self._rejections[host] = kind
+        self._note_outage()
+
+        def admit() -> None:
+            for host, span in zip(hosts, spans, strict=True):
+                span.ended = time.monotonic()
+                self._rejections.pop(host, None)
+            self._note_outage()
+
+        return admit
 
     def delete_history(self) -> None:
         """Delete the history except the newest record of each key."""
         for topic, rows in self._store_server.topics.items():
             self._store_server.first_offsets[topic] = len(rows)
 
-    def record_fault(self, seconds: float) -> None:
-        """Record a fault of all hosts' access, during which data is stale."""
+    def inject(self, hosts: list[str], kind: str) -> None:
+        """Inject a fault for some hosts."""
+        self._faults |= dict.fromkeys(hosts, kind)
+        self._note_outage()
+
+    def lift(self, hosts: list[str]) -> None:
+        """End the faults of some hosts."""
+        for host in hosts:
+            self._faults.pop(host, None)
+        self._note_outage()
+
+    def _note_outage(self) -> None:
+        """Record the times without a host that reads well; data is stale."""
+        affected = self._faults.keys() | self._rejections.keys()
+        is_out = affected.issuperset(self._hosts)
         now = time.monotonic()
-        self._record.store_faults.append(Span(now, now + seconds))
+        if is_out and self._outage is None:
+            self._outage = Span(now, math.inf)
+            self._record.store_faults.append(self._outage)
+        elif self._outage is not None and not is_out:
+            self._outage.ended = now
+            self._outage = None
 
     def _write(self, topic: str, key: str, content: bytes) -> None:
         self._store_server.topics[topic].append((key, content))
@@ -76,8 +135,11 @@
     async def _handle(
         self, host: str, request: web.BaseRequest
     ) -> web.StreamResponse:
-        fault = self.faults.get(host)
-        if fault == DOWN:
+        fault = self._rejections.get(host) or self._faults.get(host)
+        if fault in {DOWN, LIMITED}:
+            return web.Response(status=503 if fault == DOWN else 429)
+        if fault == RESET:
+            _abort(request)
             return web.Response(status=503)
         if fault == SILENT:
             await asyncio.sleep(_SILENT_SECONDS)
@@ -88,7 +150,11 @@
             fault == LOST_RESPONSE
             and self._random.random() < _LOST_RESPONSE_SHARE
         ):
-            transport = request.transport
-            assert transport is not None
-            transport.abort()
+            _abort(request)
         return response
+
+
+def _abort(request: web.BaseRequest) -> None:
+    transport = request.transport
+    if transport is not None:
+        transport.abort()
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -6,15 +6,13 @@
 
 import pytest
 
+from tests.soak._bounds import SHUTDOWN_GRACE_SECONDS
 from tests.soak._faults import draw_schedule
-from tests.soak._oracle import (
-    SHUTDOWN_GRACE_SECONDS,
-    expected_body,
-    find_violations,
-)
+from tests.soak._oracle import expected_body, find_violations
 from tests.soak._record import (
     EVENT_COUNT,
     Arrival,
+    Notice,
     Outcome,
     Record,
     Span,
@@ -78,6 +76,73 @@
     return record([*served_outcomes, *refused_outcomes], [])
 
 
+def record_with_added_route(
+    status: int = 404, since: float = 45, **changes: object
+) -> Record:
+    """Return a record of a request on a route that was added at 45 s."""
+    result = record(
+        [outcome(status=status, is_cut=True, route='new', **changes)], []
+    )
+    result.added['new'] = since
+    return result
+
+
+def record_with_removed_route(status: int, since: float = 45) -> Record:
+    """Return a record of a request on a route that was removed at 45 s."""
+    result = record_with_added_route(status, 41)
+    result.revoked['new'] = since
+    return result
+
+
+def turned_away(result: Record, began: float = 44) -> Record:
+    """Return a record whose host the store turns away from some time on."""
+    result.rejections['h'] = [Span(began, 70)]
+    return result
+
+
+def record_with_forgotten_route() -> Record:
+    """Return a record of a process that refuses a route it had accepted."""
+    result = record_with_added_route(since=49, request='q')
+    first = outcome(route='new', sent_at=49.1, ended_at=49.2)
+    result.outcomes.insert(0, first)
+    result.arrivals.append(arrival(at=49.1))
+    return result
+
+
+def record_of_notice(
+    *late_sent_at: float, pause_seconds: float | None = None, boot: int = 1
+) -> Record:
+    """Return a record of a notice at 50 s, and of requests sent after it."""
+    result = record([outcome(answered_at=50.1)], [arrival()])
+    result.arrivals[0].boot = 1
+    result.notices.append(Notice('s', 1, 'r', 50, pause_seconds))
+    for number, sent_at in enumerate(late_sent_at):
+        request = f'late-{number}'
+        result.outcomes.append(
+            outcome(
+                request=request, sent_at=sent_at, ended_at=sent_at + 0.2,
+                body=expected_body(request, 's'),
+            )
+        )  # fmt: skip
+        result.arrivals.append(arrival(request, sent_at + 0.1))
+        result.arrivals[-1].boot = boot
+    return result
+
+
+def record_of_paused_sender(pause_seconds: float | None) -> Record:
+    """Return a record whose host stands still after a notice."""
+    result = record_of_notice(53.5, 53.6, 53.7, pause_seconds=pause_seconds)
+    result.host_faults['h'] = [Span(51, 52)]
+    return result
+
+
+def record_of_lost_notice() -> Record:
+    """Return a record of a pause that was asked for over a broken link."""
+    result = record_of_notice(51, 51.1, 51.2, pause_seconds=4)
+    result.link_faults.append(Span(49, 50.1, 's'))
+    return result
+
+
 VIOLATING_RECORDS: dict[str, Callable[[], Record]] = {
     'at_most_once': lambda: record([outcome()], [arrival(), arrival()]),
     'unexecuted_requests_never_run': lambda: record(
@@ -106,6 +171,13 @@
         [arrival('q')],
     ),
     'valid_requests_are_accepted': lambda: record([outcome(status=404)], []),
+    'removed_routes_are_dropped': lambda: record_with_removed_route(200),
+    'added_items_are_accepted': record_with_added_route,
+    'added_items_stay': record_with_forgotten_route,
+    'leaving_notices_are_kept': lambda: record_of_notice(53),
+    'pauses_are_kept': lambda: record_of_notice(
+        51, 51.1, 51.2, pause_seconds=4
+    ),
     'responses_arrive_in_time': lambda: record(
         [outcome(ended_at=56)], [arrival()]
     ),
@@ -157,6 +229,31 @@
     'a key that was just revoked': lambda: record_with_revoked_key(
         500, sent_at=46, ended_at=46.2
     ),
+    'an added route': lambda: record_with_added_route(200),
+    'a route that was just added': lambda: record_with_added_route(since=48),
+    'a route that a host which is turned away does not know yet': (
+        lambda: turned_away(record_with_added_route())
+    ),
+    'a removed route': lambda: record_with_removed_route(404),
+    'a route that was just removed': lambda: record_with_removed_route(200, 48),
+    'a revoked key, at a host that is turned away': lambda: turned_away(
+        record_with_revoked_key(500)
+    ),
+    'few requests after a notice of leaving': lambda: record_of_notice(52),
+    'requests to the next start of a server that left': (
+        lambda: record_of_notice(53, boot=2)
+    ),
+    'a host that stood still after a notice of leaving': (
+        lambda: record_of_paused_sender(None)
+    ),
+    'two requests in a pause': lambda: record_of_notice(
+        51, 51.1, pause_seconds=4
+    ),
+    'requests at the start and after the end of a pause': (
+        lambda: record_of_notice(50.2, 50.3, 50.3, 54, 54, pause_seconds=4)
+    ),
+    'a host that stood still in a pause': lambda: record_of_paused_sender(4),
+    'a pause over a broken link': record_of_lost_notice,
     'a paused host': record_of_paused_host,
     'a server that cut during a shutdown': record_of_server_abort,
 }
@@ -168,6 +265,12 @@
     assert find_violations(VALID_RECORDS[case]()) == []
 
 
+def test_host_that_is_turned_away_is_judged_in_the_end() -> None:
+    """The bound is stretched once, not for as long as the store is closed."""
+    result = turned_away(record_with_added_route(sent_at=53, ended_at=53.1))
+    assert any('added_items' in line for line in find_violations(result))
+
+
 def test_schedule_depends_only_on_seed() -> None:
     """Equal seeds give equal schedules; different seeds do not."""
     assert draw_schedule(4, 20) == draw_schedule(4, 20)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,11 @@
     'reload while loading': Plan(seed=110, seconds=16),
     # 17 requests with a part that ends servers reached them after the fifth.
     'fatal prompt part': Plan(seed=2, seconds=20),
+    # A host that the store turned away took no large notes of restarted hosts,
+    # and followed an outdated configuration.
+    'outdated configuration': Plan(
+        seed=4, seconds=32, hosts=3, kinds=('reject_hosts_around_restarts',)
+    ),
 }
 SHORT_PLAN = Plan(seed=7, seconds=10, hosts=3, callers=6)
 
