Benchmark the check whether a server may be used

A selection with notices hashed an enum member twice for each server that is left out; obstacles are now counted at once.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MINUTES ?= 5
 RUNS ?= 50
 
-.PHONY: install lint format test demo bench bench-policy bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
+.PHONY: install lint format test demo bench bench-policy bench-gate bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
 
 install: $(VENV)/installed
 
@@ -67,3 +67,6 @@
 
 bench-policy: install
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/bench_policy.sh
+
+bench-gate: install
+	$(BIN)/burdockledge bench gate
--- a/src/burdockledge/bench/__init__.py
+++ b/src/burdockledge/bench/__init__.py
@@ -2,8 +2,8 @@
 Benchmarks of the router.
 
 They measure how processor time, memory and bytes grow with the load,
-extrapolate that to a large fleet, and compare placement policies in virtual
-time.
+extrapolate that to a large fleet, compare placement policies in virtual
+time, and compare the check of servers with a placement.
 """
 
 from __future__ import annotations
@@ -18,6 +18,12 @@
     estimate_roles,
 )
 from burdockledge.bench._fit import LinearFit, fit_line
+from burdockledge.bench._gate import (
+    SERVER_COUNT,
+    GateCosts,
+    measure_gate,
+    render_gate,
+)
 from burdockledge.bench._policy_page import (
     load_runs,
     plot_policy,
@@ -36,6 +42,10 @@
 
 __all__ = (
     'measure_calibration_seconds',
+    'SERVER_COUNT',
+    'GateCosts',
+    'measure_gate',
+    'render_gate',
     'SCENARIOS',
     'SIZES',
     'run_policies',
--- a/src/burdockledge/cli/_registry.py
+++ b/src/burdockledge/cli/_registry.py
@@ -46,6 +46,7 @@
     _entry('bench capacity', '_bench', 'BenchCapacity'),
     _entry('bench policy', '_bench_policy', 'BenchPolicy'),
     _entry('bench policy-page', '_bench_policy', 'BenchPolicyPage'),
+    _entry('bench gate', '_bench_gate', 'BenchGate'),
     _entry('bench results', '_bench_results', 'BenchResults'),
     _entry('standin engine', '_stand_in', 'StandInEngine'),
     _entry('standin service', '_stand_in', 'StandInService'),
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -77,15 +77,17 @@
         if not (tried_instance_ids or exhausted_ids or self.notices.has_any):
             # Nearly always: each placement of a call passes here.
             return Selection(instances)
-        selection = Selection([])
+        usable: list[ServerInstance] = []
+        obstacles: list[Obstacle] = []
         for instance in instances:
             obstacle = self._obstacle(
                 instance.instance_id, tried_instance_ids, exhausted_ids, now
             )
             if obstacle is None:
-                selection.instances.append(instance)
+                usable.append(instance)
             else:
-                selection.left_out[obstacle] += 1
+                obstacles.append(obstacle)
+        selection = Selection(usable, Counter(obstacles))
         return (
             self._without_recovering(selection, now)
             if tried_instance_ids
