--- a/tests/relay/test_server_limits.py
+++ b/tests/relay/test_server_limits.py
@@ -9,8 +9,10 @@
 import pytest
 
 from tests.relay.fleet import (
+    CONNECT_SECONDS,
     CONTACT_SECONDS,
     ONCE_ROUTE,
+    RESTART_SECONDS,
     Engine,
     Event,
     Fleet,
@@ -27,6 +29,8 @@
 EXCESS_FACTOR: Final = 1.5
 EXCESS_CALLS: Final = 5
 DOCUMENTS: Final = range(10, 40)
+# No engine has most of these in its cache.
+MANY_DOCUMENTS: Final = range(1000, 100_000)
 CALM_SECONDS: Final = 3.0
 LIMITED_SECONDS: Final = 14.0
 BURST_SECONDS: Final = 2.0
@@ -42,6 +46,22 @@
     burst_rate: float = 40.0
     event: Event = nothing
     loss: float = 0.0
+    documents: range = DOCUMENTS
+
+
+async def restart_limited(fleet: Fleet) -> None:
+    """End the engines with limits; they start again and name them again."""
+    limits = {
+        engine.instance.server_id: engine.limit
+        for engine in fleet.engines.values()
+        if engine.limit is not None
+    }
+    for engine in tuple(fleet.engines.values()):
+        if engine.limit is not None:
+            fleet.end_engine(engine)
+    await asyncio.sleep(RESTART_SECONDS + CONNECT_SECONDS)
+    for engine in fleet.engines.values():
+        engine.limit = limits.get(engine.instance.server_id)
 
 
 CASES: Final = {
@@ -51,6 +71,9 @@
     'all servers': Case(limits=(1.0, 1.5, 2.0, 2.0, 3.0)),
     'more than they get': Case(limits=(500.0, 30.0)),
     'hosts restart': Case(event=restart_some),
+    'servers restart under their names': Case(
+        event=restart_limited, documents=MANY_DOCUMENTS
+    ),
     'hosts are cut off': Case(event=cut_some),
     'hosts are added': Case(event=add_some),
     'a tenth of the datagrams is lost': Case(loss=0.1),
@@ -80,7 +103,12 @@
     async def run() -> None:
         async with fleet.running():
             calm = asyncio.ensure_future(
-                send(fleet, case.rate, CALM_SECONDS + LIMITED_SECONDS)
+                send(
+                    fleet,
+                    case.rate,
+                    CALM_SECONDS + LIMITED_SECONDS,
+                    case.documents,
+                )
             )
             await asyncio.sleep(CALM_SECONDS)
             limited.extend(list(fleet.engines.values())[: len(case.limits)])
@@ -88,9 +116,14 @@
                 engine.limit = limit
             await asyncio.sleep(4)
             burst = asyncio.ensure_future(
-                send(fleet, case.burst_rate, BURST_SECONDS)
+                send(fleet, case.burst_rate, BURST_SECONDS, case.documents)
             )
             await case.event(fleet)
+            limited.extend(
+                engine
+                for engine in fleet.engines.values()
+                if engine.limit is not None and engine not in limited
+            )
             await asyncio.gather(calm, burst)
             await asyncio.sleep(9)
 
@@ -139,7 +172,7 @@
             EXCESS_FACTOR * WINDOW_SECONDS * (engine.limit or 0) + EXCESS_CALLS
         )
         assert most_calls(fleet, engine) <= allowed
-    if len(limited) < len(fleet.engines):
+    if len(case.limits) < len(fleet.engines):
         # The others have room for all calls.
         settled_at = CALM_SECONDS + CONTACT_SECONDS
         late = [
@@ -156,9 +189,8 @@
         async with fleet.running():
             engine = next(iter(fleet.engines.values()))
             engine.limit = 0.5
-            # No engine has most of these in its cache.
             calls = asyncio.ensure_future(
-                send(fleet, 12.0, 24.0, range(1000, 100_000))
+                send(fleet, 12.0, 24.0, MANY_DOCUMENTS)
             )
             await asyncio.sleep(10)
             engine.limit = None
@@ -178,6 +210,42 @@
         fleet.loop.shut_down()
 
 
+def test_a_restarted_server_is_free_of_the_limit_of_before() -> None:
+    """Guards against limits that bind a server's next start (soak seed 431)."""
+    fleet = Fleet(9)
+
+    async def run() -> None:
+        async with fleet.running():
+            # So many that every engine is needed.
+            calls = asyncio.ensure_future(
+                send(fleet, 40.0, 20.0, MANY_DOCUMENTS)
+            )
+            await asyncio.sleep(CALM_SECONDS)
+            engine = next(iter(fleet.engines.values()))
+            engine.limit = 0.5
+            await asyncio.sleep(4)
+            fleet.end_engine(engine)
+            await calls
+            await asyncio.sleep(9)
+            started = next(
+                one
+                for one in fleet.engines.values()
+                if one.instance.server_id == engine.instance.server_id
+            )
+            arrived = [
+                arrival.at
+                for arrival in fleet.arrivals
+                if arrival.instance_id == started.instance.instance_id
+            ]
+            # The old limit would allow 4 calls in this time.
+            assert sum(12 < at < 20 for at in arrived) > 8
+
+    try:
+        fleet.loop.run_until_complete(run())
+    finally:
+        fleet.loop.shut_down()
+
+
 def test_calls_that_limits_leave_no_room_for_hear_the_truth() -> None:
     """Guards against late refusals, and against callers that return at once."""
     case = CASES['all servers']
