--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -276,3 +276,12 @@
     assert draw_schedule(4, 20) == draw_schedule(4, 20)
     assert draw_schedule(4, 20) != draw_schedule(5, 20)
     assert draw_schedule(4, 20)
+
+
+def test_schedule_of_some_kinds_has_no_others() -> None:
+    """Kinds that are named are played in every seed."""
+    kinds = ('stop_host', 'retire_server')
+    for seed in range(10):
+        schedule = draw_schedule(seed, 20, kinds)
+        assert {fault.kind for fault in schedule} <= set(kinds)
+        assert 'retire_server' in {fault.kind for fault in schedule}
