Answer every call before the planned exit of a host

Callers saw: around a planned stop, calls that a host had taken were still in flight when the grace ended, and their connections closed without an answer (LOST), also calls that may not be repeated. Calls that waited for a server were first sent as the grace ended. With a grace of 3.1 s or less no call was refused at all: the end of the directory's delay (2.5 s) came after the exit.

Cause: the stop was looked at once, as a call arrived, and only later than the directory's delay. A call in flight kept its own time limit, so that its handler was cancelled at the end. A call to a starting host was judged by its arrival, though it had waited for the configuration since.

Change: PlannedStop is a module of its own that limits the time of each block, also of those entered before the stop. At the exit a call that has not run gets 503, one that may have run 504; a stream that has begun is broken off. Placing a call that has not run asks again whether the exit may cut it off. Servers are told the time until the exit if that is shorter.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -27,6 +27,7 @@
     from result import Result
 
     from burdockledge.clock import Clock
+    from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._ports import ServerClient, ServerResponse
     from burdockledge.relay._responder import Responder
     from burdockledge.relay._routing_state import Placement, RoutingState
@@ -76,13 +77,15 @@
         routing_state: RoutingState,
         client: ServerClient,
         responder: Responder,
+        planned_stop: PlannedStop,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         """Create a forwarder that sends through a client."""
         self._state = routing_state
         self._client = client
-        self._placer = Placer(routing_state, clock)
+        self._planned_stop = planned_stop
+        self._placer = Placer(routing_state, planned_stop, clock)
         self._streams = StreamRelay(routing_state, clock, metrics)
         self._responder = responder
         self._clock = clock
@@ -204,13 +207,12 @@
     async def _send_request(
         self, served: ServedCall, placement: Placement
     ) -> Result[ServerResponse, SendFailure]:
-        now = self._clock.monotonic()
         outbound = OutboundCall(
             call=served.call,
             instance=placement.instance,
             team=None if served.team is None else served.team.name,
             urgency=served.urgency,
-            remaining_seconds=max(0.0, served.deadline - now),
+            remaining_seconds=self._planned_stop.seconds_until(served.deadline),
             last_event_id=served.event_buffer.last_id
             or served.call.last_event_id,
             cache_source=placement.cache_source,
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.quarantine import Verdict
+from burdockledge.relay._planned_stop import STOPPING
 
 if TYPE_CHECKING:
     from burdockledge.clock import Clock
+    from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._routing_state import Placement, RoutingState
     from burdockledge.relay._served_call import ServedCall
 
@@ -44,15 +46,24 @@
 class Placer:
     """Finds a server for each send of a call, and waits for one if need be."""
 
-    def __init__(self, routing_state: RoutingState, clock: Clock) -> None:
+    def __init__(
+        self,
+        routing_state: RoutingState,
+        planned_stop: PlannedStop,
+        clock: Clock,
+    ) -> None:
         """Create a placer that asks a routing state."""
         self._state = routing_state
+        self._planned_stop = planned_stop
         self._clock = clock
 
     async def place(self, served: ServedCall) -> Placement | Refusal | None:
         """
         Place a call, once its prompt and the limits of servers allow it.
 
+        A call that has not run is refused if the stop of this host may cut it
+        off, as its caller can safely send it elsewhere.
+
         :return: None if no server is left to try.
         """
         hold_until = (
@@ -60,6 +71,10 @@
             + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
         )
         while True:
+            if not served.may_have_run and self._planned_stop.would_cut_off(
+                served.deadline
+            ):
+                return Refusal(STOPPING)
             placement = self._try_to_place(served)
             if not isinstance(placement, _Wait):
                 return placement
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -9,13 +9,14 @@
 from result import Err
 
 from burdockledge.relay._forwarder import Forwarder
+from burdockledge.relay._planned_stop import STOPPING, PlannedStop
 from burdockledge.relay._responder import (
     GATEWAY_TIMEOUT,
     UNAVAILABLE,
     Responder,
 )
 from burdockledge.relay._routes import pick_service
-from burdockledge.relay._served_call import PlannedStop, ServedCall
+from burdockledge.relay._served_call import ServedCall
 
 if TYPE_CHECKING:
     from random import Random
@@ -30,15 +31,11 @@
 # A call to a starting host waits at most this long for the configuration:
 # long enough for one read of the store and its retry.
 _CONFIGURATION_WAIT_SECONDS: Final = 1.0
-# How long callers that find hosts through the directory may still call a
-# stopping host. A later call is refused if it may outlast the host: it has
-# not run yet, so its caller can safely send it elsewhere.
-_DIRECTORY_DELAY_SECONDS: Final = 2.5
 
 
 class Relay:
     """
-    Serves calls, each until its time limit.
+    Serves calls, each until its time limit or the exit of the process.
 
     ``in_flight`` is the number of calls being served.
     """
@@ -56,18 +53,24 @@
         self._clock = clock
         self._random = random
         self._responder = Responder(routing_state, clock, random, metrics)
+        self._planned_stop = PlannedStop(clock)
         self._forwarder = Forwarder(
-            routing_state, client, self._responder, clock, metrics
+            routing_state,
+            client,
+            self._responder,
+            self._planned_stop,
+            clock,
+            metrics,
         )
         self.in_flight = 0
-        self._planned_stop: PlannedStop | None = None
 
     def plan_stop(self, delay_seconds: float) -> None:
-        """Refuse calls that the process's exit after a delay may cut off."""
-        now = self._clock.monotonic()
-        self._planned_stop = PlannedStop(
-            now + _DIRECTORY_DELAY_SECONDS, now + delay_seconds
-        )
+        """
+        Answer every call before the process's exit after a delay.
+
+        Later calls that the exit may cut off are refused.
+        """
+        self._planned_stop.plan(delay_seconds)
 
     async def handle(self, call: ForwardedCall, caller: CallerPort) -> None:
         """Serve one call until its caller has the whole response."""
@@ -79,7 +82,7 @@
 
     async def _handle(self, call: ForwardedCall, caller: CallerPort) -> None:
         arrived_at = self._clock.monotonic()
-        routes = await self._wait_for_routes()
+        routes = await self._wait_for_routes(arrived_at)
         if routes is None:
             await self._responder.send_unavailable(
                 call, caller, 'no configuration yet'
@@ -95,12 +98,9 @@
             time_limit_seconds = min(
                 time_limit_seconds, call.caller_timeout_seconds
             )
-        if self._planned_stop is not None and self._planned_stop.would_cut_off(
-            arrived_at, time_limit_seconds
-        ):
-            await self._responder.send_unavailable(
-                call, caller, 'this host is stopping'
-            )
+        deadline = arrived_at + time_limit_seconds
+        if self._planned_stop.would_cut_off(deadline):
+            await self._responder.send_unavailable(call, caller, STOPPING)
             return
         served = ServedCall(
             call=call,
@@ -109,23 +109,22 @@
             team=team,
             service=pick_service(route, self._random),
             arrived_at=arrived_at,
-            deadline=arrived_at + time_limit_seconds,
+            deadline=deadline,
             version=routes.document.version,
         )
-        await self._serve(served, time_limit_seconds)
+        await self._serve(served)
 
-    async def _wait_for_routes(self) -> RouteIndex | None:
+    async def _wait_for_routes(self, arrived_at: float) -> RouteIndex | None:
         """Return the routes, None if a starting host has none in time."""
+        deadline = arrived_at + _CONFIGURATION_WAIT_SECONDS
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_CONFIGURATION_WAIT_SECONDS):
+            async with self._planned_stop.time_limit(deadline):
                 await self._state.wait_ready()
         return self._state.routes()
 
-    async def _serve(
-        self, served: ServedCall, time_limit_seconds: float
-    ) -> None:
+    async def _serve(self, served: ServedCall) -> None:
         try:
-            async with asyncio.timeout(time_limit_seconds):
+            async with self._planned_stop.time_limit(served.deadline):
                 status, why = await self._forwarder.forward(served)
         except TimeoutError:
             status, why = await self._respond_to_timeout(served)
@@ -135,15 +134,21 @@
         self._responder.record_outcome(served, status, why)
 
     async def _respond_to_timeout(self, served: ServedCall) -> tuple[int, str]:
+        is_stopping = self._planned_stop.is_over
         if served.has_response_started:
             served.caller.abort()
-            return 0, 'the time limit cut the answer'
+            limit = 'stop of this host' if is_stopping else 'time limit'
+            return 0, f'the {limit} cut the answer'
         if served.may_have_run:
             return await self._responder.send_error(
-                served, GATEWAY_TIMEOUT, 'time limit'
+                served,
+                GATEWAY_TIMEOUT,
+                STOPPING if is_stopping else 'time limit',
             )
         return await self._responder.send_error(
-            served, UNAVAILABLE, 'no server in time'
+            served,
+            UNAVAILABLE,
+            STOPPING if is_stopping else 'no server in time',
         )
 
 
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -1,4 +1,4 @@
-"""The state of a call being served, and the planned stop of the host."""
+"""The state of a call being served."""
 
 from __future__ import annotations
 
@@ -82,23 +82,4 @@
         return pause
 
 
-@dataclass(frozen=True, slots=True)
-class PlannedStop:
-    """
-    The planned exit of the process, in seconds of the monotonic clock.
-
-    From ``refuse_from`` on, callers should know of the stop and call
-    another host; ``exits_at`` is when the process exits.
-    """
-
-    refuse_from: float
-    exits_at: float
-
-    def would_cut_off(self, now: float, time_limit_seconds: float) -> bool:
-        """Return whether the exit may cut off a call that arrives now."""
-        return (
-            now >= self.refuse_from and now + time_limit_seconds > self.exits_at
-        )
-
-
-__all__ = ('PlannedStop', 'ServedCall')
+__all__ = ('ServedCall',)
