Read and answer what has begun to arrive while a host's listeners close

Requests read behind another one on their connection were closed without an answer. An answer to a request from before the stop kept its connection open, which then closed under the next request. Calls that arrived while the other services stopped were served without these.

Cause: aiohttp's pre_shutdown and shutdown mark every connection as closing at once; from then on it ignores what it receives, also the body that its handler waits for. Connection: close was decided as a request arrived, and put on each response, with or without a request behind it. The listeners were the last service to stop.

Change: when the listeners have closed, idle connections close at once, the others as they become idle, until the time for it is over; a connection that was accepted meanwhile closes at once. A response says Connection: close if the host stops as it is sent and no request waits behind it. The front stops first.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -171,11 +171,12 @@
         self._register_gauges()
         self.kernel = Kernel()
         for service in (
-            self.front,
             self.membership,
             self.exchange,
             self.store_reader,
             self.evidence_keeper,
+            # Stops first: its calls use the other services.
+            self.front,
         ):
             self.kernel.register(service)
 
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, Final
 
 from aiohttp.web_protocol import RequestHandler
@@ -38,27 +39,50 @@
 # Requests in flight when the listeners close are cancelled after this time,
 # unless the host has more left.
 _MIN_SHUTDOWN_SECONDS: Final = 0.05
+_SHUTDOWN_POLL_SECONDS: Final = 0.01
 _HEADER_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
 )
 
+_Handler = Callable[['BaseRequest'], Awaitable[StreamResponse]]
+
 
 class _CallerConnection(RequestHandler):
     """A caller connection with a time limit for the head of each request."""
 
     def __init__(
-        self, server: Server, header_timeout_seconds: float, **options: Any
+        self,
+        server: _CallerServer,
+        header_timeout_seconds: float,
+        **options: Any,
     ) -> None:
         """Limit the time from the first byte of a request head to its last."""
         super().__init__(server, **options)
+        self._server = server
         self._header_timeout_seconds = header_timeout_seconds
         self._header_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request has arrived behind the current one."""
+        return bool(self._messages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for the head of a request."""
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def _awaits_request_head(self) -> bool:
         return not self._messages and self._current_request is None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close a connection that was accepted as the server closes."""
+        super().connection_made(transport)
+        if self._server.is_shutting_down:
+            self.force_close()
+
     def data_received(self, data: bytes) -> None:
         """Start the timer with a request head, and cancel it at its end."""
         super().data_received(data)
@@ -95,6 +119,12 @@
 
     limits = CallerLimits()
 
+    def __init__(self, handler: _Handler) -> None:
+        """Create a server that cancels the calls of callers that leave."""
+        super().__init__(handler, handler_cancellation=True)
+        # Set when the listeners have closed.
+        self.is_shutting_down = False
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return _CallerConnection(
@@ -108,12 +138,42 @@
             max_field_size=self.limits.header_bytes,
         )
 
+    async def finish_requests(self, timeout_seconds: float) -> None:
+        """
+        Close each connection once its requests are answered.
+
+        The base class would close at once, and not read what is still to
+        arrive of a request.
+        """
+        self.is_shutting_down = True
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_seconds
+        while self._close_idle_connections() and loop.time() < ends_at:
+            await asyncio.sleep(_SHUTDOWN_POLL_SECONDS)
+
+    def _close_idle_connections(self) -> int:
+        """Return the number of connections that are not idle."""
+        busy_count = 0
+        for connection in self.connections:
+            if isinstance(connection, _CallerConnection):
+                if connection.is_idle:
+                    connection.force_close()
+                else:
+                    busy_count += 1
+        return busy_count
+
 
 class _HttpCaller(CallerPort):
     """Sends the response to one request over the caller's connection."""
 
-    def __init__(self, request: BaseRequest, is_closing: bool) -> None:
-        """Respond to a request, and then close the connection if asked to."""
+    def __init__(
+        self, request: BaseRequest, is_closing: Callable[[], bool]
+    ) -> None:
+        """
+        Respond to a request.
+
+        :param is_closing: whether connections close after a response.
+        """
         self._request = request
         self._is_closing = is_closing
         self.response: StreamResponse | None = None
@@ -159,7 +219,12 @@
             response.headers.setdefault(names.REQUEST_ID, request_id)
 
     async def _prepare(self, response: StreamResponse) -> None:
-        if self._is_closing:
+        connection = self._request.protocol
+        has_next_request = (
+            isinstance(connection, _CallerConnection)
+            and connection.has_next_request
+        )
+        if self._is_closing() and not has_next_request:
             response.force_close()
         await response.prepare(self._request)
 
@@ -184,9 +249,7 @@
         self._directory = directory
         self._metrics = metrics
         self._listeners: list[tuple[Server, asyncio.Server]] = []
-        self._caller_server = _CallerServer(
-            self._handle_call, handler_cancellation=True
-        )
+        self._caller_server = _CallerServer(self._handle_call)
         # Set when the host drains: responses then close their connection.
         self.is_closing = False
         # How long requests in flight may take when the listeners have closed.
@@ -218,12 +281,14 @@
         A request that arrived before is answered within
         ``shutdown_seconds``.
         """
-        for server, listener in self._listeners:
+        for _, listener in self._listeners:
             listener.close()
+        self.is_closing = True
+        await self._caller_server.finish_requests(self.shutdown_seconds)
+        for server, _ in self._listeners:
             # Closes idle connections, which shutdown() would wait for in vain.
             server.pre_shutdown()
-        for server, _ in self._listeners:
-            await server.shutdown(self.shutdown_seconds)
+            await server.shutdown(_MIN_SHUTDOWN_SECONDS)
 
     async def _open_listener(self, server: Server, address: str) -> None:
         ip, _, port = address.rpartition(':')
@@ -234,7 +299,7 @@
         self._listeners.append((server, listener))
 
     async def _handle_call(self, request: BaseRequest) -> StreamResponse:
-        caller = _HttpCaller(request, self.is_closing)
+        caller = _HttpCaller(request, lambda: self.is_closing)
         try:
             call = await decode_call(request, self._caller_server.limits)
         except BadCallError as error:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 
 import aiohttp
 
@@ -44,6 +45,33 @@
     asyncio.run(run())
 
 
+def test_the_listeners_close_before_what_their_calls_use() -> None:
+    """Guards against LOST: calls that arrive while other services stop."""
+
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            host = RelayHost(make_settings(), PEER_KEYS, session)
+            services = (
+                host.front,
+                host.membership,
+                host.exchange,
+                host.store_reader,
+                host.evidence_keeper,
+            )
+            stopped: list[str] = []
+            for service in services:
+                vars(service)['start'] = partial(asyncio.sleep, 0)
+                vars(service)['stop'] = partial(
+                    asyncio.to_thread, stopped.append, service.name
+                )
+            await host.start()
+            await host.stop()
+            assert stopped[0] == host.front.name
+            assert len(stopped) == len(services)
+
+    asyncio.run(run())
+
+
 def test_exchange_peers_follow_membership() -> None:
     """The exchange sends to alive and suspect hosts, not to dead ones."""
     alive = MemberUpdate(
