Refuse a request whose body arrives while an entry host drains

Callers saw, of serve: a request whose head came before the drain and whose body came after got 408 only at the end of the time limit for requests (10 s), though its last byte had long arrived, and held up the stop as long. No request was cut.

Cause: requests count as in flight once their body is read, so the drain did not wait for them; when the connections then close, aiohttp drops what arrives.

Change: a request whose body is being read is in flight, without counting for the limit of its team. When the body is there and the host drains, the answer is the 503 that later requests get. Serving it instead was tried: on a site of one host it waits for a slot until its time limit, since the host has left.

--- a/src/burdockledge/gateway/_admission.py
+++ b/src/burdockledge/gateway/_admission.py
@@ -121,9 +121,11 @@
         """Read the whole body within the size limit and the time limit."""
         max_bytes = self._components.settings.max_body_bytes
         timeout_seconds = self._components.settings.header_timeout_seconds
+        lifecycle = self._components.lifecycle
         try:
             async with asyncio.timeout(timeout_seconds):
-                return Ok(await request.read())
+                with lifecycle.track_body():
+                    return Ok(await request.read())
         except web.HTTPRequestEntityTooLarge:
             return Err(
                 ApiError(
@@ -148,7 +150,14 @@
         servers: tuple[str, ...],
         id_bytes: bytes,
     ) -> Result[RequestContext, ApiError]:
-        """Return the context in which the runners execute the request."""
+        """
+        Return the context in which the runners execute the request.
+
+        A request is refused if this host began to drain while its body was
+        read.
+        """
+        if not self._components.lifecycle.accepts_requests:
+            return Err(self._not_serving_error())
         document = self._components.configuration.document
         request_class = document.classes[admitted.class_name]
         timeout_text = request.headers.get(TIMEOUT_HEADER)
--- a/src/burdockledge/gateway/_lifecycle.py
+++ b/src/burdockledge/gateway/_lifecycle.py
@@ -79,25 +79,37 @@
     @contextmanager
     def track_request(self, team: str) -> Iterator[None]:
         """Count a request of a team as in flight within the ``with`` block."""
-        self._in_flight += 1
         self._in_flight_by_team[team] += 1
+        try:
+            with self.track_body():
+                yield
+        finally:
+            self._in_flight_by_team[team] -= 1
+            if not self._in_flight_by_team[team]:
+                self._in_flight_by_team.pop(team)
+
+    @contextmanager
+    def track_body(self) -> Iterator[None]:
+        """
+        Count a request as in flight within the ``with`` block.
+
+        It does not count for the limit of its team, as its body is still to
+        be read.
+        """
+        self._in_flight += 1
         self._idle.clear()
         try:
             yield
         finally:
-            self._end_request(team)
-
-    def _end_request(self, team: str) -> None:
-        self._in_flight -= 1
-        self._in_flight_by_team[team] -= 1
-        if not self._in_flight_by_team[team]:
-            self._in_flight_by_team.pop(team)
-        if self._in_flight == 0:
-            self._idle.set()
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
-        await self._idle.wait()
+        # A request whose body was read begins at once.
+        while self._in_flight:
+            await self._idle.wait()
 
 
 def _transition(trigger: str, source: str, dest: str) -> list[str | None]:
--- a/tests/gateway/running_host.py
+++ b/tests/gateway/running_host.py
@@ -16,7 +16,7 @@
 from burdockledge.backends import HttpEngineClient, HttpServiceClient
 from burdockledge.clock import SystemClock
 from burdockledge.configuration import PatchRecord, hash_key
-from burdockledge.gateway import Gateway
+from burdockledge.gateway import Gateway, LifecycleState
 from burdockledge.membership import UdpSocket
 from burdockledge.peers import LinkConfig, PeerKeys, TcpPeerBus, TlsContexts
 from burdockledge.platform_api import HttpLogClient
@@ -148,8 +148,7 @@
         )
         host = make_host(settings, session, unpooled_session)
         await host.start()
-        stack.push_async_callback(host.stop)
-        stack.push_async_callback(host.drain)
+        stack.push_async_callback(stop_host, host)
         await host.components.configuration.wait_ready()
         patch = PatchRecord(
             id='p', base=0, patch=make_configuration(urls[1], urls[2])
@@ -166,6 +165,15 @@
         )
 
 
+async def stop_host(host: EntryHost) -> None:
+    """Drain and stop a host, as far as the test has not."""
+    lifecycle = host.components.lifecycle
+    if lifecycle.state is LifecycleState.serving:
+        await host.drain()
+    if lifecycle.state is not LifecycleState.stopped:
+        await host.stop()
+
+
 def make_host(
     settings: ServeSettings,
     session: aiohttp.ClientSession,
