--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -86,18 +86,21 @@
 
 
 def run_with_front(
-    handler: Handler, test: Callable[[FrontHarness], Awaitable[None]]
+    handler: Handler,
+    test: Callable[[FrontHarness], Awaitable[None]],
+    retries: int = 10,
 ) -> None:
     """
     Run a test against a running front and a stand-in server.
 
     :param handler: responds to the requests that reach the server.
+    :param retries: how many retries the budget of the service has.
     """
 
     async def run() -> None:
         server = StandInServer(handler)
         await server.start()
-        routing_state = SingleServerRoutingState()
+        routing_state = SingleServerRoutingState(retries_left=retries)
         routing_state.instance = ServerInstance(
             's1', 1, 'book', server.address, 'dc', 6
         )
--- a/tests/platform_adapter/standin_server.py
+++ b/tests/platform_adapter/standin_server.py
@@ -88,6 +88,18 @@
     return text.encode() + body
 
 
+def unframed_head(head: bytes) -> bytes:
+    """Return the head of a response whose body ends with its connection."""
+    return response_bytes(head, b'').replace(b'Content-Length: 0\r\n', b'')
+
+
+def chunked_head(head: bytes) -> bytes:
+    """Return the head of a response with a chunked body."""
+    return response_bytes(head, b'').replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset."""
     sock = writer.get_extra_info('socket')
--- a/tests/platform_adapter/test_hostile_servers.py
+++ b/tests/platform_adapter/test_hostile_servers.py
@@ -14,8 +14,10 @@
     run_with_front,
 )
 from tests.platform_adapter.standin_server import (
+    chunked_head,
     reset_connection,
     response_bytes,
+    unframed_head,
 )
 
 # What a host may take from one server before it closes the connection; far
@@ -27,18 +29,6 @@
 Pieces = Callable[[bytes], AsyncIterator[bytes]]
 
 
-def unframed_head(head: bytes) -> bytes:
-    """Return the head of a response whose body ends with its connection."""
-    return response_bytes(head, b'').replace(b'Content-Length: 0\r\n', b'')
-
-
-def chunked_head(head: bytes) -> bytes:
-    """Return the head of a response with a chunked body."""
-    return response_bytes(head, b'').replace(
-        b'Content-Length: 0', b'Transfer-Encoding: chunked'
-    )
-
-
 async def header_lines(_: bytes) -> AsyncIterator[bytes]:
     """Never end the head."""
     yield b'HTTP/1.1 200 OK\r\n'
