Pass no success without the server's seal on

Cause: nothing looked for the seal. Now the decoded head says whether it has one, and a success without it ends that send as failed, before any of its body is relayed: a call that may run again is sent again within its attempts and the retry budget, another one gets 502, since it may have run; a stream that began is broken off, or resumed elsewhere. The health of the server counts it as a failure, the line of the failed send names it, and the connection is not used again.

The command serve has other callers and servers, which know no seals, and is not changed.

--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -18,8 +18,8 @@
 TOKEN_COUNTS: Final = 'Burdockledge-Token-Count'
 # Id of the last event that a resuming caller has received.
 LAST_EVENT_ID: Final = 'Last-Event-Id'
-# The server's signature of its response.
-SIGNATURE: Final = 'Burdockledge-Response-Seal'
+# The server's seal of its response; a success without it counts for nothing.
+SEAL: Final = 'Burdockledge-Response-Seal'
 # Name of the team that the call belongs to.
 TEAM: Final = 'Burdockledge-Tenant'
 # Id of the server that the call is meant for.
@@ -98,10 +98,10 @@
     'READ_PATH',
     'REQUEST_ID',
     'RETRY_AFTER',
+    'SEAL',
     'SERVERS_TOPIC',
     'SERVER_LEAVING',
     'SETTINGS_VARIABLE',
-    'SIGNATURE',
     'TEAM',
     'TIMEOUT_MS',
     'TOKEN_COUNTS',
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -49,6 +49,7 @@
 # A connection breaks if sent bytes stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS: Final = 1500
 _FIRST_FINAL_STATUS: Final = 200
+_MULTIPLE_CHOICES: Final = 300
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
 # Heads, chunk sizes and trailers between two parts of a body.
@@ -100,7 +101,8 @@
         """
         Return the response head and body; skip responses to other requests.
 
-        After a skipped response the connection is not reused.
+        After a skipped response, or a success without a seal, the connection
+        is not reused.
 
         :raises HttpProcessingError: if too many responses come before the
             right one, or one that can not be told from a late copy.
@@ -122,6 +124,8 @@
             )
             self.force_close()
         self._has_answered = True
+        if _is_success(message.code) and not message.headers.get(names.SEAL):
+            self.force_close()
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -243,6 +247,7 @@
             response.status == _MISDIRECTED_REQUEST
             or names.NOT_RUN in response.headers
         )
+        self.has_seal = bool(response.headers.get(names.SEAL))
         self.call_rate_limit = call_rate_limit(
             response.headers.getall(names.CALL_RATE_LIMIT, ())
         )
@@ -336,6 +341,10 @@
         return Ok(_HttpServerResponse(response))
 
 
+def _is_success(status: int) -> bool:
+    return _FIRST_FINAL_STATUS <= status < _MULTIPLE_CHOICES
+
+
 def _failure_of(error: Exception) -> SendFailure:
     if isinstance(error, _WithheldError):
         return SendFailure.withheld
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -254,6 +254,9 @@
         served.runs += 1
         is_success = _OK <= response.status < _MULTIPLE_CHOICES
         is_stream = served.route.kind is RouteKind.stream
+        if is_success and not response.has_seal:
+            outcome.result = CallResult.failed
+            return 'the answer has no seal'
         try:
             if is_success and is_stream:
                 if not self._streams.may_continue(served, response):
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -80,6 +80,8 @@
     ``proves_not_run``: whether the response proves that the server did not
     run the call and never will. ``is_delimited``: whether the response itself
     tells where its body ends, by a length or by chunks, and not its connection.
+    ``has_seal``: whether it bears a seal of its server, without which a success
+    is worth nothing to the caller; servers may fail without one.
     ``call_rate_limit``: the calls a second that the server takes from all hosts
     together, None if it names no limit, NaN if it can not be read. ``notice``
     is what it says of its server besides.
@@ -89,6 +91,7 @@
     headers: Headers
     proves_not_run: bool
     is_delimited: bool = True
+    has_seal: bool = True
     call_rate_limit: float | None = None
     notice: ServerNotice = ServerNotice()
 
--- a/src/burdockledge/scheduling/_health.py
+++ b/src/burdockledge/scheduling/_health.py
@@ -22,10 +22,10 @@
     """
     How a send of a call to a server ended.
 
-    ``failed`` is a response with a server error or one that can't be read;
-    ``unreachable`` covers failed connections, time-outs and responses that
-    were cut off. A ``refused`` call provably did not run, an ``abandoned``
-    one was cancelled.
+    ``failed`` is a response with a server error, one that can't be read, or a
+    success without the server's seal; ``unreachable`` covers failed
+    connections, time-outs and responses that were cut off. A ``refused`` call
+    provably did not run, an ``abandoned`` one was cancelled.
     """
 
     answered = 0
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -92,6 +92,7 @@
     is_closed: bool = False
     call_rate_limit: float | None = None
     is_delimited: bool = True
+    has_seal: bool = True
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks, with the pauses between them."""
