Take no answer of a service for whole whose connection was reset

A plain service behind the command serve may send an answer without a length, which ends with its connection. If that was reset in the middle, callers got a 200 with an empty or short body, framed as whole.

Cause: the HTTP client takes such a body for complete however its connection ends. The sending side of the platform had its own guard against this; it is now the connection class of both commands.

--- a/src/burdockledge/backends/__init__.py
+++ b/src/burdockledge/backends/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from burdockledge.backends._connector import (
+    BackendConnection,
+    BackendConnector,
+)
 from burdockledge.backends._engine import (
     EndKind,
     EngineCall,
@@ -20,6 +24,8 @@
 from burdockledge.backends._sse import SseSplitter
 
 __all__ = (
+    'BackendConnection',
+    'BackendConnector',
     'CallFailure',
     'EndKind',
     'EngineCall',
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 from yarl import URL
 
+from burdockledge.backends import BackendConnection
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import (
     call_rate_limit,
@@ -70,13 +70,12 @@
 )
 
 
-class _ServerConnection(ResponseHandler):
+class _ServerConnection(BackendConnection):
     """
     A client connection that accepts only the response to its request.
 
-    aiohttp itself would accept three more things as a valid response: bytes
-    that arrive while no request is pending, a response to another request,
-    and a body of unknown length that a connection reset has truncated.
+    aiohttp itself would accept two more things as a valid response: bytes
+    that arrive while no request is pending, and a response to another request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -158,14 +157,6 @@
         super().data_received(data)
         self._limit_framing(len(data))
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection broke."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError('reset'))
-            self._parser = None
-        super().connection_lost(exc)
-
     def _limit_framing(self, size: int) -> None:
         """Close the connection if much arrives that is no part of a body."""
         payload = self._payload
--- a/src/burdockledge/serving.py
+++ b/src/burdockledge/serving.py
@@ -11,7 +11,11 @@
 import aiohttp
 
 from burdockledge.app import EntryHost, HostDependencies
-from burdockledge.backends import HttpEngineClient, HttpServiceClient
+from burdockledge.backends import (
+    BackendConnector,
+    HttpEngineClient,
+    HttpServiceClient,
+)
 from burdockledge.clock import SystemClock
 from burdockledge.gateway import Gateway
 from burdockledge.kernel import on_stop_signal
@@ -100,10 +104,10 @@
 
 @contextlib.asynccontextmanager
 async def _open_sessions() -> AsyncIterator[ClientSessions]:
-    pooled_connector = aiohttp.TCPConnector(
+    pooled_connector = BackendConnector(
         limit=0, keepalive_timeout=_KEEPALIVE_SECONDS
     )
-    unpooled_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    unpooled_connector = BackendConnector(limit=0, force_close=True)
     async with (
         aiohttp.ClientSession(connector=pooled_connector) as pooled,
         aiohttp.ClientSession(connector=unpooled_connector) as unpooled,
