Notice a break of the chunk framing at once

Cause: the HTTP client closes the connection on such bytes, but tells only who waits for the next head, not who reads the body. The connection class of both commands now fails the body.

--- a/src/burdockledge/backends/_connector.py
+++ b/src/burdockledge/backends/_connector.py
@@ -11,12 +11,19 @@
 
 class BackendConnection(ResponseHandler):
     """
-    A client connection whose reset ends no body as complete.
+    A client connection that fails a body as soon as it can not be completed.
 
     aiohttp itself takes a body of unknown length for complete once its
-    connection has ended, in whichever way.
+    connection has ended, in whichever way, and lets the reader of a body with
+    broken chunk framing wait without end.
     """
 
+    def data_received(self, data: bytes) -> None:
+        """Fail the body that is being read if its framing is broken."""
+        super().data_received(data)
+        if self.exception() is not None:
+            self._fail_body('The framing of the body is broken.')
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection broke."""
         if exc is not None:
@@ -25,9 +32,11 @@
 
     def _fail_body(self, why: str) -> None:
         payload = self._payload
-        if payload is not None and not payload.is_eof():
+        if payload is None or payload.is_eof():
+            return
+        if payload.exception() is None:
             payload.set_exception(aiohttp.ClientPayloadError(why))
-            self._parser = None
+        self._parser = None
 
 
 class BackendConnector(aiohttp.TCPConnector):
--- a/tests/backends/test_cut_answers.py
+++ b/tests/backends/test_cut_answers.py
@@ -28,6 +28,7 @@
 INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
 # Lets the client read what was sent before the connection is reset.
 SECONDS_BEFORE_RESET = 0.001
+SECONDS_BETWEEN_PARTS = 0.02
 FRAMINGS = {
     'length': (b'Content-Length: %d\r\n' % len(BODY), BODY),
     'chunks': (
@@ -41,10 +42,15 @@
 
 @dataclass
 class CuttingServer:
-    """Sends some bytes to each request, then ends the connection."""
+    """
+    Sends some bytes to each request, then ends the connection.
+
+    With a ``rest`` it sends that too, and leaves the end to the client.
+    """
 
     answer: bytes = b''
     is_reset: bool = False
+    rest: bytes = b''
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -55,6 +61,11 @@
                 writer.write(whole_answer('length'))
             writer.write(self.answer)
             await writer.drain()
+            if self.rest:
+                # Lets the client read the first part by itself.
+                await asyncio.sleep(SECONDS_BETWEEN_PARTS)
+                writer.write(self.rest)
+                await reader.read()
             if self.is_reset:
                 await asyncio.sleep(SECONDS_BEFORE_RESET)
                 reset_connection(writer)
@@ -164,3 +175,28 @@
                 assert BODY.startswith(chunk.events), part
 
     run_with_server(test)
+
+
+def test_a_break_of_the_chunk_framing_is_noticed_at_once() -> None:
+    """Guards against a wait for the rest until the time limit."""
+
+    async def test(
+        url: str, server: CuttingServer, session: aiohttp.ClientSession
+    ) -> None:
+        server.answer, sign, _ = whole_answer('chunks').partition(b';ext=1')
+        server.rest = b'zz\r\n'
+        assert sign
+        service = HttpServiceClient(session, session, 1)
+        engine = HttpEngineClient(session, session, 1, 30)
+        async with asyncio.timeout(2):
+            reply = await service.call(
+                url, ServiceCall('own', 'POST', '/cut', 'a/b', b'x', '', 30)
+            )
+            engine_call = EngineCall('own', '/cut', {}, 0, 30000)
+            *_, end = [item async for item in engine.stream(url, engine_call)]
+        assert isinstance(reply, Err)
+        assert reply.err_value is CallFailure.in_doubt
+        assert isinstance(end, StreamEnd)
+        assert end.kind is EndKind.interrupted
+
+    run_with_server(test)
