Pass streams on whose events end with CRLF

Streams whose lines end with CRLF, as server-sent events may, were never passed on: callers got 502, or nothing until the time limit.

Cause: the end of an event was looked for as two line feeds only. Now the first event of a stream tells by which form of empty line its events end, and the stream keeps it, so that an HTTP error as the body of the next server's answer is still no event of a stream that began with line feeds. A CR alone is not recognised.

--- a/src/burdockledge/relay/_event_buffer.py
+++ b/src/burdockledge/relay/_event_buffer.py
@@ -9,7 +9,8 @@
 # An event of a token stream has some hundred bytes. The bound keeps a server
 # that never ends an event from filling the host's memory.
 MAX_EVENT_BYTES: Final = 1024 * 1024
-_EVENT_END: Final = b'\n\n'
+# An empty line, after the end of the line before.
+_EVENT_ENDS: Final = (b'\n\n', b'\n\r\n')
 _ID_FIELD: Final = b'id:'
 
 
@@ -17,13 +18,15 @@
     """
     Buffers the bytes of an event until the event is complete.
 
-    Events end with two line feeds; other line ends are not recognised.
+    Events end with an empty line of LF or of CRLF, as the first one of the
+    stream does; the text of an error with other line ends is no event.
     ``last_id`` is the id of the last complete event that has one.
     """
 
     def __init__(self) -> None:
         """Create an empty buffer."""
         self._partial = b''
+        self._event_end: bytes | None = None
         self.last_id: str | None = None
 
     @property
@@ -39,14 +42,17 @@
             ``MAX_EVENT_BYTES``.
         """
         buffered = self._partial + chunk
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
+        event_end = self._event_end or _first_event_end(buffered)
+        start = buffered.rfind(event_end)
+        if start < 0:
             if len(buffered) > MAX_EVENT_BYTES:
                 raise OversizedResponseError
             self._partial = buffered
             return b''
-        complete = buffered[: end + 2]
-        self._partial = buffered[end + 2 :]
+        end = start + len(event_end)
+        complete = buffered[:end]
+        self._partial = buffered[end:]
+        self._event_end = event_end
         self._update_last_id(complete)
         return complete
 
@@ -66,4 +72,10 @@
         self.last_id = line.strip().decode('latin-1')
 
 
+def _first_event_end(buffered: bytes) -> bytes:
+    """Return the form of the first event end, any without one."""
+    found = [end for end in _EVENT_ENDS if end in buffered]
+    return min(found, key=buffered.find, default=_EVENT_ENDS[0])
+
+
 __all__ = ('MAX_EVENT_BYTES', 'EventBuffer')
