--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -48,6 +48,9 @@
 _KEEPALIVE_SECONDS: Final = 3.0
 # A connection breaks if sent bytes stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS: Final = 1500
+_VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
+_FIRST_STATUS: Final = 100
+_SWITCHING_PROTOCOLS: Final = 101
 _FIRST_FINAL_STATUS: Final = 200
 _MULTIPLE_CHOICES: Final = 300
 # Interim responses and late copies of others that one answer may follow.
@@ -104,13 +107,16 @@
         is not reused.
 
         :raises HttpProcessingError: if too many responses come before the
-            right one, or one that can not be told from a late copy.
+            right one, one that can not be told from a late copy, or bytes
+            that are no response of the protocol.
         """
         while True:
             message, payload = await super().read()
             self._heads_left -= 1
             if self._heads_left < 0:
                 self._reject('Too many answers before the right one.')
+            if not _is_of_protocol(message):
+                self._reject('Answer is not of the protocol.')
             if message.code < _FIRST_FINAL_STATUS:
                 return message, payload
             response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
@@ -332,6 +338,15 @@
         return Ok(_HttpServerResponse(response))
 
 
+def _is_of_protocol(message: RawResponseMessage) -> bool:
+    """Return whether a head is one of HTTP/1, without a change of protocol."""
+    return (
+        message.version in _VERSIONS
+        and message.code >= _FIRST_STATUS
+        and message.code != _SWITCHING_PROTOCOLS
+    )
+
+
 def _is_success(status: int) -> bool:
     return _FIRST_FINAL_STATUS <= status < _MULTIPLE_CHOICES
 
