Take only chunks for a transfer coding that tells its end

A stream whose head named another transfer coding than chunks, and whose server closed before the first event, reached its caller as a complete 200 without events.

Cause: any transfer coding counted as telling where the body ends. Without chunks it ends with its connection, as a body without a length does.

--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -255,7 +255,8 @@
         )
         self.is_delimited = (
             'Content-Length' in response.headers
-            or 'Transfer-Encoding' in response.headers
+            or 'chunked'
+            in response.headers.get('Transfer-Encoding', '').lower()
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
--- a/tests/platform_adapter/test_hostile_servers.py
+++ b/tests/platform_adapter/test_hostile_servers.py
@@ -249,6 +249,23 @@
 }  # fmt: skip
 
 
+def test_another_coding_than_chunks_tells_no_end_of_a_stream() -> None:
+    """Guards against a 200 without events for a server that has crashed."""
+
+    async def handler(
+        head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(chunked_head(head).replace(b'chunked', b'identity'))
+        await writer.drain()
+        writer.close()
+
+    async def test(harness: FrontHarness) -> None:
+        response = await harness.send(request_bytes('/stream/x'), 1.0)
+        assert response.startswith(b'HTTP/1.1 502')
+
+    run_with_front(handler, test)
+
+
 @pytest.mark.parametrize('name', UNFRAMED)
 def test_an_answer_without_length_or_chunks_ends_with_its_connection(
     name: str,
