--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 from yarl import URL
 
+from burdockledge.backends import BackendConnection
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import (
     call_rate_limit,
@@ -48,7 +48,11 @@
 _KEEPALIVE_SECONDS: Final = 3.0
 # A connection breaks if sent bytes stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS: Final = 1500
+_VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
+_FIRST_STATUS: Final = 100
+_SWITCHING_PROTOCOLS: Final = 101
 _FIRST_FINAL_STATUS: Final = 200
+_MULTIPLE_CHOICES: Final = 300
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
 # Heads, chunk sizes and trailers between two parts of a body.
@@ -69,13 +73,12 @@
 )
 
 
-class _ServerConnection(ResponseHandler):
+class _ServerConnection(BackendConnection):
     """
     A client connection that accepts only the response to its request.
 
-    aiohttp itself would accept three more things as a valid response: bytes
-    that arrive while no request is pending, a response to another request,
-    and a body of unknown length that a connection reset has truncated.
+    aiohttp itself would accept two more things as a valid response: bytes
+    that arrive while no request is pending, and a response to another request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -100,16 +103,20 @@
         """
         Return the response head and body; skip responses to other requests.
 
-        After a skipped response the connection is not reused.
+        After a skipped response, or a success without a seal, the connection
+        is not reused.
 
         :raises HttpProcessingError: if too many responses come before the
-            right one, or one that can not be told from a late copy.
+            right one, one that can not be told from a late copy, or bytes
+            that are no response of the protocol.
         """
         while True:
             message, payload = await super().read()
             self._heads_left -= 1
             if self._heads_left < 0:
                 self._reject('Too many answers before the right one.')
+            if not _is_of_protocol(message):
+                self._reject('Answer is not of the protocol.')
             if message.code < _FIRST_FINAL_STATUS:
                 return message, payload
             response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
@@ -122,6 +129,8 @@
             )
             self.force_close()
         self._has_answered = True
+        if _is_success(message.code) and not message.headers.get(names.SEAL):
+            self.force_close()
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -154,14 +163,6 @@
         super().data_received(data)
         self._limit_framing(len(data))
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection broke."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError('reset'))
-            self._parser = None
-        super().connection_lost(exc)
-
     def _limit_framing(self, size: int) -> None:
         """Close the connection if much arrives that is no part of a body."""
         payload = self._payload
@@ -243,6 +244,7 @@
             response.status == _MISDIRECTED_REQUEST
             or names.NOT_RUN in response.headers
         )
+        self.has_seal = bool(response.headers.get(names.SEAL))
         self.call_rate_limit = call_rate_limit(
             response.headers.getall(names.CALL_RATE_LIMIT, ())
         )
@@ -253,7 +255,8 @@
         )
         self.is_delimited = (
             'Content-Length' in response.headers
-            or 'Transfer-Encoding' in response.headers
+            or 'chunked'
+            in response.headers.get('Transfer-Encoding', '').lower()
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -336,6 +339,19 @@
         return Ok(_HttpServerResponse(response))
 
 
+def _is_of_protocol(message: RawResponseMessage) -> bool:
+    """Return whether a head is one of HTTP/1, without a change of protocol."""
+    return (
+        message.version in _VERSIONS
+        and message.code >= _FIRST_STATUS
+        and message.code != _SWITCHING_PROTOCOLS
+    )
+
+
+def _is_success(status: int) -> bool:
+    return _FIRST_FINAL_STATUS <= status < _MULTIPLE_CHOICES
+
+
 def _failure_of(error: Exception) -> SendFailure:
     if isinstance(error, _WithheldError):
         return SendFailure.withheld
