Build the metrics in short parts, from small histograms

What callers saw: with 390 added routes in use, each fetch of the metrics held up the whole host for 7 s and more; most orders got no answer.

Cause: the text was built in one turn of the event loop, and the library's histogram computes each percentile by walking through its 28 KB in Python.

The text is built and sent in parts, between which the event loop runs.

--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -183,6 +183,7 @@
         self._relay = relay
         self._directory = directory
         self._metrics = metrics
+        self._metrics_lock = asyncio.Lock()
         self._listeners: list[tuple[Server, asyncio.Server]] = []
         self._caller_server = _CallerServer(
             self._handle_call, handler_cancellation=True
@@ -276,11 +277,29 @@
 
     async def _handle_control(self, request: BaseRequest) -> StreamResponse:
         if request.path == names.METRICS_PATH:
-            return Response(text=self._metrics.render())
+            return await self._send_metrics(request)
         if request.path == names.PARTS_PATH:
             return await self._operators.handle(request)
         return _empty_response(_NOT_FOUND)
 
+    async def _send_metrics(self, request: BaseRequest) -> StreamResponse:
+        """Build and send the metrics while calls are served in between."""
+        parts: list[bytes] = []
+        async with self._metrics_lock:
+            for part in self._metrics.render_parts():
+                parts.append(part.encode())
+                await asyncio.sleep(0)
+        response = StreamResponse()
+        response.content_type = 'text/plain'
+        response.charset = 'utf-8'
+        response.content_length = sum(map(len, parts))
+        await response.prepare(request)
+        for content in parts:
+            await response.write(content)
+            await asyncio.sleep(0)
+        await response.write_eof()
+        return response
+
 
 def _empty_response(status: int) -> Response:
     return Response(status=status)
--- a/src/burdockledge/telemetry/_metrics.py
+++ b/src/burdockledge/telemetry/_metrics.py
@@ -7,28 +7,26 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
-from itertools import groupby
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
-from hdrh.histogram import HdrHistogram
+from burdockledge.telemetry._durations import Durations
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
-_MIN_DURATION_US: Final = 1
-_MAX_DURATION_US: Final = 3_600_000_000
-_SIGNIFICANT_DIGITS: Final = 2
-_PERCENTILES: Final = (50, 90, 95, 99, 99.9)
-_PERCENT: Final = 100
-_US_PER_SECOND: Final = 1_000_000
+_QUANTILES: Final = (0.5, 0.9, 0.95, 0.99, 0.999)
+# Series for each part of the text: the event loop runs between the parts.
+_VALUES_PER_PART: Final = 256
+_SUMMARIES_PER_PART: Final = 24
 
-# A series is the name of a metric and its label pairs, sorted by label.
+# A series is a metric with one set of label pairs, sorted by label.
 _Labels = tuple[tuple[str, str], ...]
-_Series = tuple[str, _Labels]
-_Family = tuple[str, list[_Series]]
 GaugeReader = Callable[[], float]
+_SeriesT = TypeVar('_SeriesT')
+_Families = dict[str, dict[_Labels, _SeriesT]]
+_Part = list[tuple[_Labels, _SeriesT]]
+_Family = tuple[str, _Part[_SeriesT]]
 
 
 class Metrics:
@@ -36,13 +34,15 @@
 
     def __init__(self) -> None:
         """Create an empty set of metrics."""
-        self._counters: Counter[_Series] = Counter()
-        self._gauges: dict[_Series, GaugeReader] = {}
-        self._histograms: dict[_Series, HdrHistogram] = {}
+        self._counters: _Families[int] = {}
+        self._gauges: _Families[GaugeReader] = {}
+        self._summaries: _Families[Durations] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter, which is exported as ``name_total``."""
-        self._counters[_make_series(f'{name}_total', labels)] += amount
+        family = self._counters.setdefault(f'{name}_total', {})
+        series = _make_labels(labels)
+        family[series] = family.get(series, 0) + amount
 
     def set_gauge(self, name: str, level: float, **labels: str) -> None:
         """Set a gauge to a constant."""
@@ -52,87 +52,99 @@
         self, name: str, read_gauge: GaugeReader, **labels: str
     ) -> None:
         """Set a gauge to a function that is called at each scrape."""
-        self._gauges[_make_series(name, labels)] = read_gauge
+        family = self._gauges.setdefault(name, {})
+        family[_make_labels(labels)] = read_gauge
 
     def drop_gauge(self, name: str, **labels: str) -> None:
         """Export a gauge no longer."""
-        self._gauges.pop(_make_series(name, labels), None)
+        self._gauges.get(name, {}).pop(_make_labels(labels), None)
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration in seconds."""
-        series = _make_series(name, labels)
-        histogram = self._histograms.get(series)
-        if histogram is None:
-            histogram = HdrHistogram(
-                _MIN_DURATION_US, _MAX_DURATION_US, _SIGNIFICANT_DIGITS
-            )
-            self._histograms[series] = histogram
-        histogram.record_value(
-            max(_MIN_DURATION_US, int(seconds * _US_PER_SECOND))
-        )
+        family = self._summaries.setdefault(name, {})
+        series = _make_labels(labels)
+        durations = family.get(series)
+        if durations is None:
+            durations = Durations()
+            family[series] = durations
+        durations.add(seconds)
 
     def counter(self, name: str, **labels: str) -> int:
         """Return the value of a counter."""
-        return self._counters[_make_series(f'{name}_total', labels)]
+        family = self._counters.get(f'{name}_total', {})
+        return family.get(_make_labels(labels), 0)
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text exposition format."""
-        return '\n'.join((*self._format_lines(), ''))
-
-    def _format_lines(self) -> Iterator[str]:
-        for name, counters in _group_families(self._counters):
-            yield f'# TYPE {name} counter'
-            for series in counters:
-                yield f'{_format_series(series)} {self._counters[series]}'
-        for name, gauges in _group_families(self._gauges):
-            yield f'# TYPE {name} gauge'
-            for series in gauges:
-                yield f'{_format_series(series)} {self._gauges[series]()}'
-        for name, summaries in _group_families(self._histograms):
-            yield f'# TYPE {name} summary'
-            for series in summaries:
-                yield from _format_summary(series, self._histograms[series])
-
-
-def _group_families(metrics: Iterable[_Series]) -> Iterator[_Family]:
-    """Yield each metric name with its series, in sorted order."""
-    for name, group in groupby(sorted(metrics), key=_metric_name):
-        yield name, list(group)
-
-
-def _metric_name(series: _Series) -> str:
-    return series[0]
-
-
-def _format_summary(series: _Series, histogram: HdrHistogram) -> Iterator[str]:
-    for percentile in _PERCENTILES:
-        duration_us = histogram.get_value_at_percentile(percentile)
-        quantile = str(percentile / _PERCENT)
-        yield (
-            f'{_format_series(series, ("quantile", quantile))} '
-            f'{duration_us / _US_PER_SECOND}'
+        return ''.join(self.render_parts())
+
+    def render_parts(self) -> Iterator[str]:
+        """
+        Yield the text of all metrics in parts that take little time each.
+
+        Metrics may change between the parts.
+        """
+        for name, counters in _sorted_families(self._counters):
+            yield f'# TYPE {name} counter\n'
+            for counter_part in _split(counters, _VALUES_PER_PART):
+                yield ''.join(
+                    f'{name}{_format_labels(labels)} {total}\n'
+                    for labels, total in counter_part
+                )
+        for name, gauges in _sorted_families(self._gauges):
+            yield f'# TYPE {name} gauge\n'
+            for gauge_part in _split(gauges, _VALUES_PER_PART):
+                yield ''.join(
+                    f'{name}{_format_labels(labels)} {read_gauge()}\n'
+                    for labels, read_gauge in gauge_part
+                )
+        for name, summaries in _sorted_families(self._summaries):
+            yield f'# TYPE {name} summary\n'
+            for summary_part in _split(summaries, _SUMMARIES_PER_PART):
+                yield ''.join(
+                    _format_summary(name, labels, durations)
+                    for labels, durations in summary_part
+                )
+
+
+def _sorted_families(
+    families: _Families[_SeriesT],
+) -> Iterator[_Family[_SeriesT]]:
+    """Yield each exported name with its series of that moment."""
+    for name in sorted(families):
+        yield f'burdockledge_{name}', list(families[name].items())
+
+
+def _split(series: _Part[_SeriesT], size: int) -> Iterator[_Part[_SeriesT]]:
+    for start in range(0, len(series), size):
+        yield series[start : start + size]
+
+
+def _format_summary(name: str, labels: _Labels, durations: Durations) -> str:
+    text = _format_labels(labels)
+    opening = f'{text[:-1]},' if text else '{'
+    quantiles = ''.join(
+        f'{name}{opening}quantile="{share}"}} {seconds:.6g}\n'
+        for share, seconds in zip(
+            _QUANTILES, durations.quantiles(_QUANTILES), strict=False
         )
-    name, labels = series
-    count = histogram.get_total_count()
-    total = histogram.get_mean_value() * count / _US_PER_SECOND
-    yield f'{_format_series((f"{name}_sum", labels))} {total}'
-    yield f'{_format_series((f"{name}_count", labels))} {count}'
+    )
+    return (
+        f'{quantiles}{name}_sum{text} {durations.seconds}\n'
+        f'{name}_count{text} {durations.count}\n'
+    )
 
 
-def _make_series(name: str, labels: dict[str, str]) -> _Series:
-    return f'burdockledge_{name}', tuple(sorted(labels.items()))
+def _make_labels(labels: dict[str, str]) -> _Labels:
+    return tuple(sorted(labels.items()))
 
 
-def _format_series(series: _Series, *extra_labels: tuple[str, str]) -> str:
-    name, labels = series
-    label_text = ','.join(
-        f'{label}="{_escape_label(text)}"'
-        for label, text in (*labels, *extra_labels)
-    )
-    return f'{name}{{{label_text}}}' if label_text else name
+def _format_labels(labels: _Labels) -> str:
+    text = ','.join(f'{label}="{_escape(text)}"' for label, text in labels)
+    return f'{{{text}}}' if text else ''
 
 
-def _escape_label(text: str) -> str:
+def _escape(text: str) -> str:
     quoted = text.replace('\\', r'\\').replace('"', r'\"')
     return quoted.replace('\n', r'\n')
 
