Fold the metrics of removed routes into one series

What callers saw: a host kept three histograms for each route that was ever called; after some 1,400 routes it exceeded 150 MB, was ended, and the calls in flight were closed without an answer.

Change: with each configuration, counters and summaries of routes that it lacks are added up under the route `(removed)`, by the other labels, as is what their last calls add later. Such a summary has sum and count only, as quantiles of removed routes say nothing. The gauges of a host move to a module of their own, unchanged.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 from dataclasses import replace
-from functools import partial
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Final
 
@@ -13,6 +12,7 @@
 
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
+from burdockledge.host_gauges import register_gauges
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
 from burdockledge.peers import PeerKeys
@@ -42,7 +42,6 @@
     Metrics,
     TimeLine,
     make_logger,
-    unreported_dropped_lines,
 )
 from burdockledge.wire import MemberStatus, MemberUpdate
 
@@ -69,7 +68,6 @@
 _DRAIN_IDLE_SECONDS: Final = 0.5
 _DRAIN_POLL_SECONDS: Final = 0.1
 _MAX_TIME_LINE_EVENTS: Final = 1000
-_MS_PER_SECOND: Final = 1000
 # Settings that are only read at the start; a change needs a restart.
 _RESTART_SETTINGS: Final = (
     'host',
@@ -166,9 +164,8 @@
             self.metrics,
             PartEndpoint(self.routing_state.parts, keys),
         )
-        self._clock = clock
         self._connect_components()
-        self._register_gauges()
+        register_gauges(self, clock, self._host_count)
         self.kernel = Kernel()
         for service in (
             self.front,
@@ -263,59 +260,9 @@
         self.routing_state.host_count = self._host_count
         self.routing_state.on_routes = self._on_routes
 
-    def _register_gauges(self) -> None:
-        """Register gauges of resources in use and of the age of streams."""
-        metrics = self.metrics
-        metrics.set_gauge_function(
-            'calls_in_flight', lambda: self.relay.in_flight
-        )
-        metrics.set_gauge_function('hosts_known', self._host_count)
-        quarantine = self.routing_state.parts.quarantine
-        metrics.set_gauge_function(
-            'prompt_parts_blocked', lambda: len(quarantine.blocked)
-        )
-        metrics.set_gauge_function(
-            'prompt_parts_suspected', lambda: len(quarantine.suspected)
-        )
-        notices = self.routing_state.gate.notices
-        metrics.set_gauge_function(
-            'servers_leaving', lambda: notices.leaving_count
-        )
-        metrics.set_gauge_function(
-            'servers_paused',
-            lambda: notices.paused_count(self._clock.monotonic()),
-        )
-        metrics.set_gauge_function(
-            'store_reads', lambda: self.store_reader.read_count
-        )
-        metrics.set_gauge_function(
-            'log_lines_left_out', unreported_dropped_lines
-        )
-        for service in (
-            self.membership,
-            self.exchange,
-            self.store_reader,
-            self.evidence_keeper,
-        ):
-            metrics.set_gauge_function(
-                'task_failures',
-                partial(getattr, service, 'task_failures'),
-                service=service.name,
-            )
-        for stream in STREAMS:
-            metrics.set_gauge_function(
-                'knowledge_age_seconds',
-                partial(self._stream_age_seconds, stream),
-                stream=stream,
-            )
-
     def _count_part_event(self, event: QuarantineEvent) -> None:
         self.metrics.count('prompt_part_events', event=event.event)
 
-    def _stream_age_seconds(self, stream: str) -> float:
-        state = self.exchange.state(stream)
-        return state.age_ms(self._clock.monotonic()) / _MS_PER_SECOND
-
     def _update_exchange_peers(self) -> None:
         self.exchange.peers.replace(
             [
@@ -360,6 +307,9 @@
 
     def _on_routes(self, routes: RouteIndex) -> None:
         self.front.apply_limits(routes.document.limits)
+        self.metrics.retain(
+            'route', (route.name for route in routes.document.routes)
+        )
         own_member = self.membership.own_member
         if (
             not own_member.caller_url
--- a/src/burdockledge/telemetry/__init__.py
+++ b/src/burdockledge/telemetry/__init__.py
@@ -8,11 +8,12 @@
     make_logger,
     unreported_dropped_lines,
 )
-from burdockledge.telemetry._metrics import Metrics
+from burdockledge.telemetry._metrics import GaugeReader, Metrics
 from burdockledge.telemetry._timeline import Event, TimeLine
 
 __all__ = (
     'Event',
+    'GaugeReader',
     'Logger',
     'Metrics',
     'TimeLine',
--- a/src/burdockledge/telemetry/_metrics.py
+++ b/src/burdockledge/telemetry/_metrics.py
@@ -10,16 +10,19 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from burdockledge.telemetry._durations import Durations
+from burdockledge.telemetry._durations import Durations, DurationTotals
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 _QUANTILES: Final = (0.5, 0.9, 0.95, 0.99, 0.999)
 # Series for each part of the text: the event loop runs between the parts.
 _VALUES_PER_PART: Final = 256
 _SUMMARIES_PER_PART: Final = 24
 
+# The text of a label for all series whose own text is no longer known.
+REMOVED: Final = '(removed)'
+
 # A series is a metric with one set of label pairs, sorted by label.
 _Labels = tuple[tuple[str, str], ...]
 GaugeReader = Callable[[], float]
@@ -36,12 +39,13 @@
         """Create an empty set of metrics."""
         self._counters: _Families[int] = {}
         self._gauges: _Families[GaugeReader] = {}
-        self._summaries: _Families[Durations] = {}
+        self._summaries: _Families[DurationTotals] = {}
+        self._known_texts: dict[str, frozenset[str]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter, which is exported as ``name_total``."""
         family = self._counters.setdefault(f'{name}_total', {})
-        series = _make_labels(labels)
+        series = self._known_labels(labels)
         family[series] = family.get(series, 0) + amount
 
     def set_gauge(self, name: str, level: float, **labels: str) -> None:
@@ -62,13 +66,34 @@
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration in seconds."""
         family = self._summaries.setdefault(name, {})
-        series = _make_labels(labels)
+        series = self._known_labels(labels)
         durations = family.get(series)
         if durations is None:
-            durations = Durations()
+            is_removed = REMOVED in labels.values()
+            durations = DurationTotals() if is_removed else Durations()
             family[series] = durations
         durations.add(seconds)
 
+    def retain(self, label: str, texts: Iterable[str]) -> None:
+        """
+        Fold the counters and summaries with other texts of a label into one.
+
+        Later counts and durations with other texts are added there, too.
+        Its summaries have a sum and a count, but no quantiles.
+        """
+        known = frozenset(texts)
+        self._known_texts[label] = known
+        for counters in self._counters.values():
+            for series, folded in _find_removed(counters, label, known):
+                total = counters.pop(series)
+                counters[folded] = counters.get(folded, 0) + total
+        for summaries in self._summaries.values():
+            for series, folded in _find_removed(summaries, label, known):
+                durations = summaries.pop(series)
+                if folded not in summaries:
+                    summaries[folded] = DurationTotals()
+                summaries[folded].add_totals(durations)
+
     def counter(self, name: str, **labels: str) -> int:
         """Return the value of a counter."""
         family = self._counters.get(f'{name}_total', {})
@@ -106,6 +131,12 @@
                     for labels, durations in summary_part
                 )
 
+    def _known_labels(self, labels: dict[str, str]) -> _Labels:
+        for label, known in self._known_texts.items():
+            if label in labels and labels[label] not in known:
+                labels[label] = REMOVED
+        return _make_labels(labels)
+
 
 def _sorted_families(
     families: _Families[_SeriesT],
@@ -120,7 +151,9 @@
         yield series[start : start + size]
 
 
-def _format_summary(name: str, labels: _Labels, durations: Durations) -> str:
+def _format_summary(
+    name: str, labels: _Labels, durations: DurationTotals
+) -> str:
     text = _format_labels(labels)
     opening = f'{text[:-1]},' if text else '{'
     quantiles = ''.join(
@@ -135,6 +168,24 @@
     )
 
 
+def _find_removed(
+    family: dict[_Labels, _SeriesT], label: str, known: frozenset[str]
+) -> list[tuple[_Labels, _Labels]]:
+    """Return the series whose label has another text, and their folds."""
+    return [
+        (series, _fold(series, label))
+        for series in family
+        for name, text in series
+        if name == label and text not in known and text != REMOVED
+    ]
+
+
+def _fold(series: _Labels, label: str) -> _Labels:
+    return tuple(
+        (name, REMOVED if name == label else text) for name, text in series
+    )
+
+
 def _make_labels(labels: dict[str, str]) -> _Labels:
     return tuple(sorted(labels.items()))
 
@@ -149,4 +200,4 @@
     return quoted.replace('\n', r'\n')
 
 
-__all__ = ('Metrics',)
+__all__ = ('GaugeReader', 'Metrics')
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -7,6 +7,8 @@
 
 from burdockledge.telemetry import Metrics
 
+REMOVED_ROUTE = "[('route', '(removed)'), ('status', '200')]"
+
 
 def parse_families(metrics: Metrics) -> dict[str, tuple[str, dict[str, float]]]:
     """Return the type and the samples of each metric family."""
@@ -66,3 +68,25 @@
     _, samples = parse_families(metrics)['burdockledge_calls']
     expected = f'burdockledge_calls_total{sorted([("why", text)])}'
     assert samples == {expected: 1}
+
+
+def test_removed_labels_are_folded_into_one() -> None:
+    """Guards against totals that shrink when routes are removed."""
+    metrics = Metrics()
+    for number in range(4):
+        metrics.count('calls', route=f'r{number}', status='200')
+        metrics.observe('call_seconds', number, route=f'r{number}')
+    metrics.retain('route', ['r0', 'r1'])
+    metrics.retain('route', ['r0'])
+    metrics.count('calls', route='r3', status='200')
+    metrics.observe('call_seconds', 9, route='r3')
+    families = parse_families(metrics)
+    assert list(families['burdockledge_calls'][1].items()) == [
+        ("burdockledge_calls_total[('route', 'r0'), ('status', '200')]", 1),
+        (f'burdockledge_calls_total{REMOVED_ROUTE}', 4),
+    ]
+    _, durations = families['burdockledge_call_seconds']
+    folded = "[('route', '(removed)')]"
+    assert durations[f'burdockledge_call_seconds_count{folded}'] == 4
+    assert durations[f'burdockledge_call_seconds_sum{folded}'] == 15
+    assert len(durations) == 5 + 2 + 2
