Forget the results of servers that are gone

What operators saw: the memory of a host grew with each server instance that ever answered it, as the record of its results was never dropped.

Change: results go with the instance, as loads and limits do. The churn now runs once, in a process of its own, for all its tests.

--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -317,13 +317,13 @@
         if entries:
             instances = self._registry.all_instances(now)
             self._loads.retain(instances)
-            self.limits.limits.retain(
-                {instance.instance_id for instance in instances}
-            )
             self._instance_ids_by_hash = {
                 hash_server_key(instance.instance_id): instance.instance_id
                 for instance in instances
             }
+            instance_ids = {instance.instance_id for instance in instances}
+            self._health.retain(instance_ids)
+            self.limits.limits.retain(instance_ids)
 
     def _apply_server(self, entry: StreamEntry, now: float) -> None:
         registration = None
--- a/src/burdockledge/scheduling/_health.py
+++ b/src/burdockledge/scheduling/_health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -102,6 +103,12 @@
             server.successes + server.failures + _PRIOR_SUCCESSES
         )
 
+    def retain(self, instance_ids: Collection[str]) -> None:
+        """Drop the results of all instances but these."""
+        for instance_id in tuple(self._servers):
+            if instance_id not in instance_ids:
+                self._servers.pop(instance_id)
+
     def _record_unreachable(
         self, server: _ServerHealth, host: str, now: float
     ) -> None:
--- a/tests/host_churn.py
+++ b/tests/host_churn.py
@@ -1,7 +1,8 @@
 """
 Churns everything that others name to a host: routes, teams, servers, parts.
 
-Run as a module, it prints the memory of its process in MB after each wave.
+Run as a module, it prints the memory of its process after each wave, and the
+sizes of the host's containers after the last, as JSON lines.
 """
 
 from __future__ import annotations
@@ -230,9 +231,12 @@
     )  # fmt: skip
 
 
-def _print_memory(wave: int, _host: RelayHost) -> None:
-    sys.stderr.write(f'{wave} {memory_mb():.1f}\n')
+def _print(wave: int, host: RelayHost) -> None:
+    line: dict[str, object] = {'memory_mb': memory_mb()}
+    if wave == WAVES - 1:
+        line['sizes'] = container_sizes(host)
+    sys.stdout.write(f'{json.dumps(line)}\n')
 
 
 if __name__ == '__main__':
-    run_churn(WAVES, _print_memory)
+    run_churn(WAVES, _print)
--- a/tests/test_host_churn.py
+++ b/tests/test_host_churn.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
-from collections import Counter
+from typing import Any
 
 import pytest
-import structlog
 
-from burdockledge.host import RelayHost
 from tests.host_churn import (
     PARTS_PER_CALL,
     ROUTES_PER_WAVE,
     SERVERS_PER_WAVE,
     WAVES,
-    container_sizes,
-    run_churn,
 )
 
 # Servers of one wave may be known until the end of the next one.
@@ -29,6 +26,8 @@
 BOUNDS = {
     'Metrics._counters[]': 2 * ROUTES_PER_WAVE + FIXED_SERIES,
     'Metrics._summaries[]': 3 * ROUTES_PER_WAVE + FIXED_SERIES,
+    'HealthTracker._servers': SERVERS,
+    'LoadTracker._cache_sizes': SERVERS,
     'LoadTracker._loads': SERVERS,
     'PrefixCacheEstimate._tokens_by_part': 2 * ROUTES_PER_WAVE * PARTS_PER_CALL,
     'PrefixCacheEstimate._prefilled': 2 * ROUTES_PER_WAVE * PARTS_PER_CALL,
@@ -42,41 +41,43 @@
 
 
 @pytest.fixture(scope='module')
-def sizes() -> Counter[str]:
-    """Return the sizes of a host's containers after all waves."""
-    found: list[Counter[str]] = []
-
-    def observe(wave: int, host: RelayHost) -> None:
-        if wave == WAVES - 1:
-            found.append(container_sizes(host))
-
-    settings = structlog.get_config()
-    try:
-        run_churn(WAVES, observe)
-    finally:
-        structlog.configure(**settings)
-    return found[0]
+def waves() -> list[dict[str, Any]]:
+    """Return what a process that is churned prints after each wave."""
+    run = subprocess.run(
+        [sys.executable, '-m', 'tests.host_churn'],
+        env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
+        stdout=subprocess.PIPE,
+        text=True,
+        timeout=250,
+        check=True,
+    )
+    return [json.loads(line) for line in run.stdout.splitlines()]
 
 
 @pytest.mark.parametrize(('table', 'bound'), BOUNDS.items())
 def test_table_forgets_what_is_gone(
-    sizes: Counter[str], table: str, bound: int
+    waves: list[dict[str, Any]], table: str, bound: int
 ) -> None:
     """Guards against tables that grow with all that was ever named."""
-    assert 0 < sizes[table] <= bound
+    assert 0 < waves[-1]['sizes'][table] <= bound
 
 
-def test_memory_levels_off() -> None:
+def test_no_other_table_grows_over_the_waves(
+    waves: list[dict[str, Any]],
+) -> None:
+    """Guards against new tables without a bound."""
+    largest_of_a_wave = 2 * ROUTES_PER_WAVE
+    others = {
+        table: size
+        for table, size in waves[-1]['sizes'].items()
+        if table not in BOUNDS and size > largest_of_a_wave
+    }
+    assert not others
+
+
+def test_memory_levels_off(waves: list[dict[str, Any]]) -> None:
     """Guards against a host that the platform ends for its memory."""
-    run = subprocess.run(
-        [sys.executable, '-m', 'tests.host_churn'],
-        env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
-        capture_output=True,
-        text=True,
-        timeout=200,
-        check=True,
-    )
-    memory = [float(line.split()[1]) for line in run.stderr.splitlines()]
+    memory = [wave['memory_mb'] for wave in waves]
     assert len(memory) == WAVES
     assert memory[-1] - memory[WAVES // 2] <= GROWTH_LIMIT_MB
     assert max(memory) <= MEMORY_LIMIT_MB
