Drop the gauge of a limit with its server

What operators saw: `server_limit` went on for servers that had left, one gauge for each that ever named a limit.

Cause: limits of servers that are gone were dropped without telling.

Change: dropped limits are reported as ended; the log has the line of the server that is gone.

--- a/src/burdockledge/relay/_limit_guard.py
+++ b/src/burdockledge/relay/_limit_guard.py
@@ -115,6 +115,12 @@
             spread = max(spread, backlog / max(calls_per_second, 1))
         return self._random.uniform(0, spread)
 
+    def retain(self, instance_ids: Collection[str]) -> None:
+        """Forget the limits of all instances but these."""
+        for change in self.limits.retain(instance_ids):
+            if self.on_change is not None:
+                self.on_change(change)
+
     def _log_change(self, change: LimitChange | None) -> None:
         if change is None:
             return
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -323,7 +323,7 @@
             }
             instance_ids = {instance.instance_id for instance in instances}
             self._health.retain(instance_ids)
-            self.limits.limits.retain(instance_ids)
+            self.limits.retain(instance_ids)
 
     def _apply_server(self, entry: StreamEntry, now: float) -> None:
         registration = None
--- a/src/burdockledge/scheduling/_rate_limits.py
+++ b/src/burdockledge/scheduling/_rate_limits.py
@@ -154,11 +154,12 @@
             if instance_id in self._buckets
         )
 
-    def retain(self, instance_ids: Collection[str]) -> None:
-        """Drop the limits of all instances but these."""
-        for instance_id in tuple(self._buckets):
-            if instance_id not in instance_ids:
-                self._buckets.pop(instance_id)
+    def retain(self, instance_ids: Collection[str]) -> list[LimitChange]:
+        """Drop the limits of all instances but these; return the changes."""
+        gone = [one for one in self._buckets if one not in instance_ids]
+        return [
+            LimitChange(one, self._buckets.pop(one).limit, None) for one in gone
+        ]
 
 
 __all__ = ('LimitChange', 'ServerRateLimits')
--- a/tests/test_host_churn.py
+++ b/tests/test_host_churn.py
@@ -26,6 +26,7 @@
 BOUNDS = {
     'Metrics._counters[]': 2 * ROUTES_PER_WAVE + FIXED_SERIES,
     'Metrics._summaries[]': 3 * ROUTES_PER_WAVE + FIXED_SERIES,
+    'Metrics._gauges[]': SERVERS_PER_WAVE + FIXED_SERIES,
     'HealthTracker._servers': SERVERS,
     'LoadTracker._cache_sizes': SERVERS,
     'LoadTracker._loads': SERVERS,
