Bound the number of parts in the estimate of a cache

What operators saw: nothing yet; parts of 0 or 1 tokens were never or hardly ever evicted, so that a caller could fill the memory of every host.

Change: an estimate keeps the newest 4,096 parts at most. An engine whose cache holds more parts than that counts as holding the newest.

--- a/src/burdockledge/scheduling/_prefix_cache.py
+++ b/src/burdockledge/scheduling/_prefix_cache.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -11,6 +11,11 @@
     from burdockledge.calls import Prompt
 
 
+# A limit of memory for prompts of many tiny parts; a cache holds fewer parts
+# of a usual size.
+_MAX_PARTS: Final = 4096
+
+
 class PrefixCacheEstimate:
     """
     The prompt parts that one engine's cache is assumed to hold, with LRU.
@@ -57,8 +62,9 @@
         self._evict()
 
     def _evict(self) -> None:
-        while (
-            self._total_tokens > self._capacity_tokens and self._tokens_by_part
+        while self._tokens_by_part and (
+            self._total_tokens > self._capacity_tokens
+            or len(self._tokens_by_part) > _MAX_PARTS
         ):
             part_id, tokens = self._tokens_by_part.popitem(last=False)
             self._prefilled.discard(part_id)
