Forget services that are gone, and first sends in time

What operators saw: the memory of a host grew with each call and with each name of a service. A retry budget dropped old first sends only when a retry was asked for, so that a service without failures kept the time of every call. Budgets, learnt times, refusals by service, and the cache sizes of servers that never got a call were never dropped.

Change: first sends outside the window are dropped with each new one; unused budgets with each configuration, as new ones equal them; learnt times unless the configuration or a known server has the service; refusals when they are older than the backlog.

--- a/src/burdockledge/relay/_limit_guard.py
+++ b/src/burdockledge/relay/_limit_guard.py
@@ -104,6 +104,8 @@
         which servers with limits can take them.
         """
         now = self._clock.monotonic()
+        if service not in self._refused_at:
+            self._drop_old_refusals(now)
         refused_at = self._refused_at[service]
         refused_at.append(now)
         while refused_at[0] <= now - _BACKLOG_SECONDS:
@@ -121,6 +123,11 @@
             if self.on_change is not None:
                 self.on_change(change)
 
+    def _drop_old_refusals(self, now: float) -> None:
+        for service, refused_at in tuple(self._refused_at.items()):
+            if refused_at[-1] <= now - _BACKLOG_SECONDS:
+                self._refused_at.pop(service)
+
     def _log_change(self, change: LimitChange | None) -> None:
         if change is None:
             return
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -11,7 +11,10 @@
 from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
 from burdockledge.relay._part_guard import PartGuard
 from burdockledge.relay._record_decoder import RecordDecoder
-from burdockledge.relay._retry_budget import RetryBudget, RetryBudgetSettings
+from burdockledge.relay._retry_budget import (
+    RetryBudgets,
+    RetryBudgetSettings,
+)
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
 from burdockledge.relay._server_gate import ServerGate
@@ -83,7 +86,7 @@
         self._decoder = decoder
         self._registry = registry
         self._exchange = exchange
-        self._retry_settings = retry_settings
+        self._budgets = RetryBudgets(retry_settings)
         self._clock = clock
         self._random = random
         self._loads = LoadTracker()
@@ -93,7 +96,6 @@
         self.limits = LimitGuard(exchange, clock, random)
         self.gate = ServerGate(registry, self.limits.limits)
         self.parts.services = self._service_names
-        self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteIndex | None = None
         self._ready = asyncio.Event()
         # Call events name the registered instances by these hashes.
@@ -258,19 +260,17 @@
 
     def note_first_send(self, service: str) -> None:
         """Count the first send of a call for the service's retry budget."""
-        self._retry_budget(service).note_first_send(self._clock.monotonic())
+        self._budgets.of(service).note_first_send(self._clock.monotonic())
 
     def take_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; return False without one."""
-        return self._retry_budget(service).try_spend(
+        return self._budgets.of(service).try_spend(
             self._clock.monotonic(), self.host_count()
         )
 
     def apply_retry_settings(self, retry_settings: RetryBudgetSettings) -> None:
         """Change the limits of every retry budget, also of those in use."""
-        self._retry_settings = retry_settings
-        for budget in self._budgets.values():
-            budget.apply_retry_settings(retry_settings)
+        self._budgets.apply_retry_settings(retry_settings)
 
     def age_ms(self) -> int:
         """Return the age of the older of configuration and server records."""
@@ -283,13 +283,6 @@
         routes = self._routes
         return () if routes is None else tuple(routes.document.services)
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(self._retry_settings)
-            self._budgets[service] = budget
-        return budget
-
     def _record_result(self, instance_id: str, result: int, host: str) -> None:
         now = self._clock.monotonic()
         was_paused = self._health.is_paused(instance_id, now)
@@ -317,6 +310,7 @@
         if entries:
             instances = self._registry.all_instances(now)
             self._loads.retain(instances)
+            self._loads.retain_services(self._service_names())
             self._instance_ids_by_hash = {
                 hash_server_key(instance.instance_id): instance.instance_id
                 for instance in instances
@@ -365,6 +359,7 @@
             _log.warning('Older version left out.', version=document.version)
             return
         self._routes = RouteIndex(document)
+        self._budgets.drop_unused(self._clock.monotonic())
         if document.routes:
             self._loads.set_call_expiry(
                 max(route.timeout_seconds for route in document.routes)
--- a/src/burdockledge/relay/_retry_budget.py
+++ b/src/burdockledge/relay/_retry_budget.py
@@ -46,6 +46,7 @@
 
     def note_first_send(self, now: float) -> None:
         """Count the first send of a call."""
+        self._drop_expired(now)
         self._first_sends.append(now)
 
     def try_spend(self, now: float, host_count: int) -> bool:
@@ -65,10 +66,44 @@
         self._retries.append(now)
         return True
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether nothing counts in the current window."""
+        self._drop_expired(now)
+        return not self._first_sends and not self._retries
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._first_sends, self._retries):
             while times and times[0] <= now - self._settings.window_seconds:
                 times.popleft()
 
 
-__all__ = ('RetryBudget', 'RetryBudgetSettings')
+class RetryBudgets:
+    """The retry budgets of all services."""
+
+    def __init__(self, settings: RetryBudgetSettings) -> None:
+        """Create budgets with the same limits for each service."""
+        self._settings = settings
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._settings)
+            self._budgets[service] = budget
+        return budget
+
+    def apply_retry_settings(self, settings: RetryBudgetSettings) -> None:
+        """Change the limits of every budget, also of those in use."""
+        self._settings = settings
+        for budget in self._budgets.values():
+            budget.apply_retry_settings(settings)
+
+    def drop_unused(self, now: float) -> None:
+        """Drop the budgets in which nothing counts: new ones equal them."""
+        for service, budget in tuple(self._budgets.items()):
+            if budget.is_unused(now):
+                self._budgets.pop(service)
+
+
+__all__ = ('RetryBudget', 'RetryBudgetSettings', 'RetryBudgets')
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -10,6 +10,8 @@
 from burdockledge.scheduling._timing import ServiceTiming
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from burdockledge.calls import Prompt, ServerInstance
 
 # A call is dropped after this time, as the news of its end may be lost with
@@ -359,10 +361,17 @@
         self._services = {
             instance.instance_id: instance.service for instance in instances
         }
-        for instance_id in tuple(self._loads):
-            if instance_id not in self._services:
-                self._loads.pop(instance_id)
-                self._cache_sizes.pop(instance_id, None)
+        for table in (self._loads, self._cache_sizes):
+            for instance_id in tuple(table):
+                if instance_id not in self._services:
+                    table.pop(instance_id)
+
+    def retain_services(self, services: Collection[str]) -> None:
+        """Drop what was learnt of services without instances but these."""
+        in_use = {*services, *self._services.values()}
+        for service in tuple(self._timings):
+            if service not in in_use:
+                self._timings.pop(service)
 
     def _timing_of(self, instance_id: str) -> ServiceTiming:
         service = self._services.get(instance_id, '')
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -192,3 +192,14 @@
         tracker.record('s', CallResult.failed, 'own', 0)
     assert tracker.failure_rate('s', 0) > 0.6
     assert tracker.failure_rate('s', 20) < 0.01
+
+
+def test_cache_size_goes_with_a_server_that_got_no_call() -> None:
+    """Guards against one entry for each server that was ever registered."""
+    tracker = LoadTracker()
+    tracker.set_cache_size('gone/1', 100)
+    tracker.retain([])
+    prompt = Prompt((PromptPart(1, 200),))
+    cache = tracker.load_of('gone/1').cache
+    cache.add(prompt)
+    assert cache.cached_tokens(prompt) == 200
--- a/tests/test_host_churn.py
+++ b/tests/test_host_churn.py
@@ -14,6 +14,7 @@
     PARTS_PER_CALL,
     ROUTES_PER_WAVE,
     SERVERS_PER_WAVE,
+    SERVICES_PER_WAVE,
     WAVES,
 )
 
@@ -30,9 +31,13 @@
     'HealthTracker._servers': SERVERS,
     'LoadTracker._cache_sizes': SERVERS,
     'LoadTracker._loads': SERVERS,
+    'LoadTracker._timings': 2 * SERVICES_PER_WAVE,
+    'LimitGuard._refused_at': SERVICES_PER_WAVE,
     'PrefixCacheEstimate._tokens_by_part': 2 * ROUTES_PER_WAVE * PARTS_PER_CALL,
     'PrefixCacheEstimate._prefilled': 2 * ROUTES_PER_WAVE * PARTS_PER_CALL,
     'Quarantine._answered_parts': 8192,
+    'RetryBudgets._budgets': SERVICES_PER_WAVE,
+    'RetryBudget._first_sends': ROUTES_PER_WAVE,
     'RouteIndex._routes_by_http_host': ROUTES_PER_WAVE,
     'RoutingDocument.teams_by_api_key': ROUTES_PER_WAVE,
     'ServerRateLimits._buckets': SERVERS,
