List the tables of a host whose keys others choose

Three places have no bound yet: what membership remembers of addresses and names, and the assemblers of notes.

--- a/src/burdockledge/bench/_capacity_page.py
+++ b/src/burdockledge/bench/_capacity_page.py
@@ -12,6 +12,7 @@
     estimate_roles,
     sum_built_roles,
 )
+from burdockledge.bench._host_tables import render_host_tables
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -117,6 +118,7 @@
         '\n'.join(_line_table(capacity)),
         '',
         '![measured lines](data/capacity.png)\n',
+        render_host_tables(),
         _render_tail(capacity),
     )
     return '\n'.join(parts)
--- a/tests/test_host_churn.py
+++ b/tests/test_host_churn.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -68,6 +69,13 @@
     assert 0 < waves[-1]['sizes'][table] <= bound
 
 
+@pytest.mark.parametrize('table', BOUNDS)
+def test_table_is_listed_for_operators(table: str) -> None:
+    """Guards against a page that leaves out a table with a bound."""
+    page = Path(__file__).parent.parent / 'docs' / 'CAPACITY.md'
+    assert f'`{table}`' in page.read_text('utf-8')
+
+
 def test_no_other_table_grows_over_the_waves(
     waves: list[dict[str, Any]],
 ) -> None:
