--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MINUTES ?= 5
 RUNS ?= 50
 
-.PHONY: install lint format test demo bench bench-policy bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
+.PHONY: install lint format test demo bench bench-routes bench-policy bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
 
 install: $(VENV)/installed
 
@@ -35,6 +35,9 @@
 bench: install
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/bench_relay.sh
 
+bench-routes: install
+	$(BIN)/python scripts/bench_routes.py
+
 fuzz: install
 	FUZZ_SEED=$(SEED) FUZZ_RUNS=$(RUNS) $(BIN)/pytest tests/proofs/test_fuzz.py -s
 
