Bound what membership remembers of hosts that are gone

What operators saw: nothing yet; a host kept the address of every host that ever sent it a probe, sorted them twice a second, and kept the last status of every name.

Change: 1,024 addresses are kept, the longest silent ones go first; a status goes with its host. Seeds have no bound: settings and the store name them.

--- a/src/burdockledge/bench/_host_tables.py
+++ b/src/burdockledge/bench/_host_tables.py
@@ -133,9 +133,21 @@
         'by time',
     ),
     (
-        '`Membership._seeds`, `_seen_addresses`, `_recorded_statuses`',
-        'peer address, host',
-        '**none**: each address and name ever heard of',
+        '`Membership._seen_addresses` (`tests/test_host_peers.py`)',
+        'peer address',
+        '1,024',
+        'silent for the longest',
+    ),
+    (
+        '`Membership._recorded_statuses` (`tests/test_host_peers.py`)',
+        'host',
+        'hosts of `MemberTable`',
+        'with the host',
+    ),
+    (
+        '`Membership._seeds`',
+        'peer address',
+        '**none**: each address that settings or the store ever named',
         'never',
     ),
     (
@@ -158,7 +170,7 @@
     parts = (
         _HEAD,
         _render(_TESTED),
-        'Not churned by that test, read in the code only:\n',
+        'Not churned by that test; read in the code unless a test is named:\n',
         _render(_READ),
     )
     return '\n'.join(parts)
--- a/src/burdockledge/membership/_service.py
+++ b/src/burdockledge/membership/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
@@ -32,6 +33,8 @@
 PROBE_INTERVAL_SECONDS: Final = 0.5
 _ACK_TIMEOUT_SECONDS: Final = 0.15
 _INDIRECT_PROBE_COUNT: Final = 2
+# Of hosts heard of, those silent for the longest are forgotten first.
+_MAX_SEEN_ADDRESSES: Final = 1024
 _MAC_CONTEXT: Final = b'datagram'
 
 OffsetListener = Callable[[str, int], None]
@@ -68,7 +71,7 @@
         super().__init__()
         self._table = MemberTable(own_member, clock.monotonic())
         self._seeds = set(seeds) - {own_member.peer_address}
-        self._seen_addresses: set[str] = set()
+        self._seen_addresses: OrderedDict[str, None] = OrderedDict()
         self._lost_probe_count = 0
         self._socket = socket
         self._keys = keys
@@ -161,7 +164,9 @@
         """Ping the address of a dead or removed host, as it may be back."""
         probed = {update.peer_address for update in self._table.probe_targets()}
         lost_addresses = sorted(
-            self._seen_addresses - probed - {self.own_member.peer_address}
+            self._seen_addresses.keys()
+            - probed
+            - {self.own_member.peer_address}
         )
         if lost_addresses:
             self._lost_probe_count += 1
@@ -298,7 +303,7 @@
 
     def _apply_updates(self, probe: Probe) -> None:
         now = self._clock.monotonic()
-        self._seen_addresses.add(probe.sender.peer_address)
+        self._note_address(probe.sender.peer_address)
         for update in (probe.sender, *probe.updates):
             self._table.apply(update, now)
         if self.on_configuration_offset is not None:
@@ -307,6 +312,12 @@
                 probe.configuration_offset,
             )
 
+    def _note_address(self, address: str) -> None:
+        self._seen_addresses[address] = None
+        self._seen_addresses.move_to_end(address)
+        if len(self._seen_addresses) > _MAX_SEEN_ADDRESSES:
+            self._seen_addresses.popitem(last=False)
+
     def _handle_probe(self, probe: Probe) -> None:
         if probe.kind == ProbeKind.ping:
             self._send(
@@ -340,6 +351,9 @@
             listener()
 
     def _record_status_changes(self) -> None:
+        for host in tuple(self._recorded_statuses):
+            if self._table.get(host) is None:
+                self._recorded_statuses.pop(host)
         for update in self._table.updates():
             status = MemberStatus(update.status)
             if self._recorded_statuses.get(update.host) is not status:
