--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -13,6 +13,7 @@
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
 from burdockledge.host_gauges import register_gauges
+from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
 from burdockledge.peers import PeerKeys
@@ -308,6 +309,9 @@
 
     def _on_routes(self, routes: RouteIndex) -> None:
         self.front.apply_limits(routes.document.limits)
+        self.metrics.retain(
+            'route', (route.name for route in routes.document.routes)
+        )
         own_member = self.membership.own_member
         if (
             not own_member.caller_url
@@ -330,7 +334,9 @@
     :param settings_modified_ns: the modification time of that file when
         ``settings`` were read from it.
     """
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(
+        connector=BoundedConnector(), read_bufsize=READ_BYTES
+    ) as session:
         host = RelayHost(settings, keys, session)
         watcher = SettingsWatcher(
             settings_path, settings_modified_ns, host.apply_settings
