Bound what a host holds while servers send without an end

Cause: every call could hold 4 MiB of an answer, or 1 MiB of an event, and every connection 512 KiB unread and what 256 KiB parse into; a block of heads takes a hundred times its bytes.

Change: larger answers of a host share 16 MiB and wait for it in turn, with their servers; up to 64 KiB no answer waits. A length over the bound is refused before the body is read. Connections read 64 KiB at once, parse 8 KiB at once, hold 128 KiB unread, and are closed after 17 heads or 128 KiB of framing (1 MiB before). A switch of protocols is refused. The limits of connections moved to http_client, for use by other clients. ServerResponse lost its read, as the relay reads bodies itself; the one test that called it now compares the whole body.

--- /dev/null
+++ b/src/burdockledge/http_client/_connection.py
@@ -0,0 +1,162 @@
+"""
+Client connections that a peer can not fill without an end.
+
+Bodies are bounded by their readers. Everything else that a peer may send is
+bounded here: heads, framing, and what no request waits for.
+"""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, Any, Final, NoReturn
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
+
+from burdockledge.telemetry import make_logger
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from aiohttp.http import RawResponseMessage
+    from aiohttp.streams import StreamReader
+
+_log = make_logger('http')
+
+# What is taken from a socket at once, and what a body may have unread before
+# its socket is no longer read.
+READ_BYTES: Final = 64 * 1024
+# Parsed at once: a head has 16 bytes or more, but takes over a kilobyte of
+# memory.
+_PARSE_BYTES: Final = 8 * 1024
+# Interim responses and late copies of others that one answer may follow.
+_MAX_HEADS: Final = 16
+# Heads, chunk sizes and trailers between two parts of a body.
+_MAX_FRAMING_BYTES: Final = 128 * 1024
+_SWITCHING_PROTOCOLS: Final = 101
+_FIRST_FINAL_STATUS: Final = 200
+
+
+class BoundedConnection(ResponseHandler):
+    """A connection that takes bytes only while a request is pending."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Create a connection without a pending request."""
+        super().__init__(loop=loop)
+        self._awaits_response = False
+        self._heads_left = 0
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        # Named in log lines.
+        self.request_id: str | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is read from the socket at once."""
+        socket_transport: Any = transport
+        socket_transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
+    def set_response_params(self, **params: Any) -> None:
+        """Accept a response from now on."""
+        self._awaits_response = True
+        self._heads_left = _MAX_HEADS
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        super().set_response_params(**params)
+
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """
+        Return the next response head and its body.
+
+        Responses that answer no pending request are skipped.
+
+        :raises HttpProcessingError: if too many of them come before the final
+            one, or the peer leaves the protocol.
+        """
+        while True:
+            message, payload = await super().read()
+            self._heads_left -= 1
+            if self._heads_left < 0:
+                self.reject('Too many answers before the right one.')
+            if message.code == _SWITCHING_PROTOCOLS:
+                self.reject('Answer leaves the protocol.')
+            if message.code < _FIRST_FINAL_STATUS:
+                return message, payload
+            if self.is_answer(message):
+                break
+        payload.on_eof(self._on_response_end)
+        return message, payload
+
+    def is_answer(self, message: RawResponseMessage) -> bool:
+        """Return whether a final response answers the pending request."""
+        return True
+
+    def reject(self, why: str) -> NoReturn:
+        """
+        Close the connection after the pending request.
+
+        :raises HttpProcessingError: always.
+        """
+        _log.warning(why, request=self.request_id)
+        self.force_close()
+        raise HttpProcessingError(message=why)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; close the connection once they exceed a limit."""
+        if not data:
+            # The parser goes on with what it has kept.
+            super().data_received(data)
+            return
+        for start in range(0, len(data), _PARSE_BYTES):
+            if not self._awaits_response:
+                self.close()
+            if self.transport is None or self.transport.is_closing():
+                return
+            piece = data[start : start + _PARSE_BYTES]
+            super().data_received(piece)
+            self._limit_framing(len(piece))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body that is being read if the connection broke."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError('reset'))
+            self._parser = None
+        super().connection_lost(exc)
+
+    def _limit_framing(self, size: int) -> None:
+        """Close the connection if much arrives that is no part of a body."""
+        payload = self._payload
+        body_bytes = 0 if payload is None else payload.total_bytes
+        if body_bytes == self._body_bytes:
+            self._framing_bytes += size
+        else:
+            self._body_bytes = body_bytes
+            self._framing_bytes = 0
+        if (
+            self._framing_bytes > _MAX_FRAMING_BYTES
+            or len(self._buffer) > _MAX_HEADS
+        ):
+            _log.warning('Answer has no end.', request=self.request_id)
+            if self.transport is not None:
+                self.transport.abort()
+
+    def _on_response_end(self) -> None:
+        self._awaits_response = False
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens any number of connections of one kind."""
+
+    def __init__(
+        self,
+        connection_type: type[BoundedConnection] = BoundedConnection,
+        **options: Any,
+    ) -> None:
+        """Create a connector; the options are those of the base class."""
+        super().__init__(limit=0, **options)
+        self._factory: Any = functools.partial(connection_type, loop=self._loop)
+
+
+__all__ = ('READ_BYTES', 'BoundedConnection', 'BoundedConnector')
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import functools
 import socket
 from contextvars import ContextVar
-from typing import TYPE_CHECKING, Any, Final, NoReturn
+from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 from yarl import URL
 
+from burdockledge.http_client import (
+    READ_BYTES,
+    BoundedConnection,
+    BoundedConnector,
+)
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import (
     call_rate_limit,
@@ -24,7 +26,6 @@
     Headers,
     IncompleteResponseError,
     OutboundCall,
-    OversizedResponseError,
     SendFailure,
     ServerClient,
     ServerResponse,
@@ -37,7 +38,6 @@
 
     from aiohttp.connector import Connection
     from aiohttp.http import RawResponseMessage
-    from aiohttp.streams import StreamReader
 
 _log = make_logger('servers')
 
@@ -48,11 +48,6 @@
 _KEEPALIVE_SECONDS: Final = 3.0
 # A connection breaks if sent bytes stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS: Final = 1500
-_FIRST_FINAL_STATUS: Final = 200
-# Interim responses and late copies of others that one answer may follow.
-_MAX_HEADS: Final = 16
-# Heads, chunk sizes and trailers between two parts of a body.
-_MAX_FRAMING_BYTES: Final = 1024 * 1024
 _MISDIRECTED_REQUEST: Final = 421
 # asyncio.TimeoutError is an OSError since Python 3.11.
 _READ_ERRORS: Final = (aiohttp.ClientError, OSError)
@@ -69,121 +64,43 @@
 )
 
 
-class _ServerConnection(ResponseHandler):
-    """
-    A client connection that accepts only the response to its request.
-
-    aiohttp itself would accept three more things as a valid response: bytes
-    that arrive while no request is pending, a response to another request,
-    and a body of unknown length that a connection reset has truncated.
-    """
+class _ServerConnection(BoundedConnection):
+    """A client connection that accepts only the response to its request."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Create a connection without a pending request."""
-        super().__init__(loop=loop)
-        self._awaits_response = False
+        """Create a connection on which nothing was answered."""
+        super().__init__(loop)
         self._has_answered = False
-        self._heads_left = 0
-        self._body_bytes = 0
-        self._framing_bytes = 0
-        self.request_id: str | None = None
-
-    def set_response_params(self, **params: Any) -> None:
-        """Accept a response from now on."""
-        self._awaits_response = True
-        self._heads_left = _MAX_HEADS
-        self._body_bytes = 0
-        self._framing_bytes = 0
-        super().set_response_params(**params)
-
-    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
-        """
-        Return the response head and body; skip responses to other requests.
-
-        After a skipped response the connection is not reused.
-
-        :raises HttpProcessingError: if too many responses come before the
-            right one, or one that can not be told from a late copy.
-        """
-        while True:
-            message, payload = await super().read()
-            self._heads_left -= 1
-            if self._heads_left < 0:
-                self._reject('Too many answers before the right one.')
-            if message.code < _FIRST_FINAL_STATUS:
-                return message, payload
-            response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
-            if self._is_answer(response_ids):
-                break
-            _log.warning(
-                'Answer to another request.',
-                request=self.request_id,
-                answered=sorted(response_ids),
-            )
-            self.force_close()
-        self._has_answered = True
-        payload.on_eof(self._on_response_end)
-        return message, payload
 
-    def _is_answer(self, response_ids: set[str]) -> bool:
+    def is_answer(self, message: RawResponseMessage) -> bool:
         """
-        Return whether a response with some ids answers the pending request.
+        Return whether a response answers the pending request.
 
-        A response without an id is only accepted as the first one of a
+        After a response to another one the connection is not reused. A
+        response without an id is only accepted as the first one of a
         connection, which is not used again: on a later one, it could be a
         late copy of the response before.
 
         :raises HttpProcessingError: if it can not be told.
         """
+        response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
         if not response_ids:
             if self._has_answered:
-                self._reject('Answer lacks its id.')
+                self.reject('Answer lacks its id.')
+            self.force_close()
+        elif self.request_id not in response_ids:
+            _log.warning(
+                'Answer to another request.',
+                request=self.request_id,
+                answered=sorted(response_ids),
+            )
             self.force_close()
-            return True
-        if self.request_id not in response_ids:
             return False
-        if len(response_ids) > 1:
-            self._reject('Answer has several ids.')
+        elif len(response_ids) > 1:
+            self.reject('Answer has several ids.')
+        self._has_answered = True
         return True
 
-    def data_received(self, data: bytes) -> None:
-        """Close the connection if bytes arrive without a pending request."""
-        if data and not self._awaits_response:
-            self.close()
-            return
-        super().data_received(data)
-        self._limit_framing(len(data))
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection broke."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError('reset'))
-            self._parser = None
-        super().connection_lost(exc)
-
-    def _limit_framing(self, size: int) -> None:
-        """Close the connection if much arrives that is no part of a body."""
-        payload = self._payload
-        body_bytes = 0 if payload is None else payload.total_bytes
-        if body_bytes != self._body_bytes:
-            self._body_bytes = body_bytes
-            self._framing_bytes = 0
-            return
-        self._framing_bytes += size
-        if self._framing_bytes > _MAX_FRAMING_BYTES:
-            _log.warning('Answer has no end.', request=self.request_id)
-            if self.transport is not None:
-                self.transport.abort()
-
-    def _reject(self, why: str) -> NoReturn:
-        _log.warning(why, request=self.request_id)
-        self.force_close()
-        raise HttpProcessingError(message=why)
-
-    def _on_response_end(self) -> None:
-        self._awaits_response = False
-
 
 class _WithheldError(Exception):
     """A call must not be sent, now that its connection is open."""
@@ -211,17 +128,6 @@
         return await super().send(conn)
 
 
-class _ServerConnector(aiohttp.TCPConnector):
-    """Opens any number of connections of type ``_ServerConnection``."""
-
-    def __init__(self, **options: Any) -> None:
-        """Create a connector; the options are those of the base class."""
-        super().__init__(limit=0, socket_factory=_create_socket, **options)
-        self._factory: Any = functools.partial(
-            _ServerConnection, loop=self._loop
-        )
-
-
 def _create_socket(address_info: Any) -> socket.socket:
     family, kind, proto = address_info[:3]
     server_socket = socket.socket(family=family, type=kind, proto=proto)
@@ -251,6 +157,10 @@
             response.headers.getall(names.SERVER_LEAVING, ()),
             response.headers.getall(names.RETRY_AFTER, ()),
         )
+        # Answers without a body may name the length that it would have.
+        self.length = (
+            None if response.content.at_eof() else response.content_length
+        )
         self.is_delimited = (
             'Content-Length' in response.headers
             or 'Transfer-Encoding' in response.headers
@@ -264,17 +174,6 @@
         except _READ_ERRORS as error:
             raise IncompleteResponseError from error
 
-    async def read(self, max_bytes: int) -> bytes:
-        """Return the whole body if it is not too long."""
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > max_bytes:
-                raise OversizedResponseError
-            chunks.append(chunk)
-        return b''.join(chunks)
-
     def close(self) -> None:
         """Close the connection unless the response was read completely."""
         if self._response.content.is_eof():
@@ -289,7 +188,12 @@
     def __init__(self) -> None:
         """Create a client; requires a running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=_ServerConnector(keepalive_timeout=_KEEPALIVE_SECONDS),
+            connector=BoundedConnector(
+                _ServerConnection,
+                keepalive_timeout=_KEEPALIVE_SECONDS,
+                socket_factory=_create_socket,
+            ),
+            read_bufsize=READ_BYTES,
             request_class=_IdentifiedRequest,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from burdockledge.relay._answer_memory import MAX_LARGE_BYTES, MAX_SMALL_BYTES
 from burdockledge.relay._event_buffer import EventBuffer
 from burdockledge.relay._part_guard import GuardedPart, PartOperations
 from burdockledge.relay._ports import (
@@ -38,6 +39,8 @@
 
 __all__ = (
     'CONFIGURATION_STREAM',
+    'MAX_LARGE_BYTES',
+    'MAX_SMALL_BYTES',
     'SERVERS_STREAM',
     'STREAMS',
     'CallerPort',
--- a/src/burdockledge/relay/_event_buffer.py
+++ b/src/burdockledge/relay/_event_buffer.py
@@ -31,6 +31,11 @@
         """Whether no incomplete event is buffered."""
         return not self._partial
 
+    @property
+    def size(self) -> int:
+        """The bytes of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, chunk: bytes) -> bytes:
         """
         Add a chunk and return the events that it completes, unchanged.
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -9,6 +9,11 @@
 from result import Err
 
 from burdockledge.calls import ResponseProgress, RouteKind
+from burdockledge.relay._answer_memory import (
+    AnswerMemory,
+    HeldAnswer,
+    read_body,
+)
 from burdockledge.relay._placer import Placer, Refusal
 from burdockledge.relay._ports import (
     IncompleteResponseError,
@@ -47,9 +52,6 @@
 # route's latency target is sent to another server.
 _HEAD_TIMEOUT_TARGETS: Final = 2.0
 _MIN_HEAD_TIMEOUT_SECONDS: Final = 0.4
-# A response that is not a stream is held in memory until it is complete. The
-# bound is that of the largest request bodies by default.
-_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _MS_PER_SECOND: Final = 1000
 _RESULT_BY_FAILURE: Final = {
     SendFailure.garbled: CallResult.failed,
@@ -83,6 +85,7 @@
         self._state = routing_state
         self._client = client
         self._placer = Placer(routing_state, clock)
+        self._memory = AnswerMemory()
         self._streams = StreamRelay(routing_state, clock, metrics)
         self._responder = responder
         self._clock = clock
@@ -195,9 +198,10 @@
             return failure.value
         response = received.ok_value
         try:
-            return await self._relay_response(
-                served, placement, outcome, response
-            )
+            with HeldAnswer(self._memory) as held:
+                return await self._relay_response(
+                    served, placement, outcome, response, held
+                )
         finally:
             response.close()
 
@@ -243,6 +247,7 @@
         placement: Placement,
         outcome: SendOutcome,
         response: ServerResponse,
+        held: HeldAnswer,
     ) -> tuple[int, str] | str:
         outcome.progress = ResponseProgress.head
         self._state.note_response_start(placement, response.call_rate_limit)
@@ -264,11 +269,12 @@
                     placement,
                     outcome,
                     response,
+                    held,
                     may_resume=self._has_attempt_left(served),
                 )
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
-            body = await response.read(_MAX_BODY_BYTES)
+            body = await read_body(response, held)
         except OversizedResponseError:
             outcome.result = CallResult.failed
             served.event_buffer.discard_partial()
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -79,7 +79,8 @@
 
     ``proves_not_run``: whether the response proves that the server did not
     run the call and never will. ``is_delimited``: whether the response itself
-    tells where its body ends, by a length or by chunks, and not its connection.
+    tells where its body ends, by a length or by chunks, and not its connection;
+    ``length`` is the length in bytes, if it tells one.
     ``call_rate_limit``: the calls a second that the server takes from all hosts
     together, None if it names no limit, NaN if it can not be read. ``notice``
     is what it says of its server besides.
@@ -89,6 +90,7 @@
     headers: Headers
     proves_not_run: bool
     is_delimited: bool = True
+    length: int | None = None
     call_rate_limit: float | None = None
     notice: ServerNotice = ServerNotice()
 
@@ -100,15 +102,6 @@
         :raises IncompleteResponseError: if the body ends early.
         """
 
-    @abstractmethod
-    async def read(self, max_bytes: int) -> bytes:
-        """
-        Return the whole body.
-
-        :raises IncompleteResponseError: if the body ends early.
-        :raises OversizedResponseError: if it is longer than ``max_bytes``.
-        """
-
     @abstractmethod
     def close(self) -> None:
         """Release the connection; close it if the body was not all read."""
--- a/src/burdockledge/relay/_stream_relay.py
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import ResponseProgress
+from burdockledge.relay._event_buffer import MAX_EVENT_BYTES
 from burdockledge.relay._ports import (
     IncompleteResponseError,
     StalledResponseError,
@@ -15,6 +16,7 @@
     from collections.abc import AsyncIterator
 
     from burdockledge.clock import Clock
+    from burdockledge.relay._answer_memory import HeldAnswer
     from burdockledge.relay._ports import ServerResponse
     from burdockledge.relay._routing_state import (
         Placement,
@@ -65,6 +67,7 @@
         placement: Placement,
         outcome: SendOutcome,
         response: ServerResponse,
+        held: HeldAnswer,
         *,
         may_resume: bool,
     ) -> None:
@@ -89,7 +92,9 @@
                 break
             events = served.event_buffer.feed(chunk)
             if not events:
+                await held.grow(served.event_buffer.size, MAX_EVENT_BYTES)
                 continue
+            held.shrink(0)
             outcome.progress = ResponseProgress.content
             if not served.has_response_started:
                 await self._start_stream(served, response)
--- a/tests/platform_adapter/test_server_notices.py
+++ b/tests/platform_adapter/test_server_notices.py
@@ -50,7 +50,7 @@
             response = (await client.send(outbound(None))).unwrap()
             assert response.notice.is_leaving
             assert response.notice.pause_seconds == 2.5
-            await response.read(100)
+            assert [chunk async for chunk in response.chunks()] == [b'later']
             response.close()
         before = len(server.requests)
         withheld = (await client.send(outbound('it leaves'))).unwrap_err()
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -27,7 +27,6 @@
     Headers,
     IncompleteResponseError,
     OutboundCall,
-    OversizedResponseError,
     Placement,
     Relay,
     RouteIndex,
@@ -103,13 +102,6 @@
         if self.is_cut_off:
             raise IncompleteResponseError
 
-    async def read(self, max_bytes: int) -> bytes:
-        """Return the chunks joined."""
-        body = b''.join([chunk async for chunk in self.chunks()])
-        if len(body) > max_bytes:
-            raise OversizedResponseError
-        return body
-
     def close(self) -> None:
         """Record that the response was closed."""
         self.is_closed = True
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -199,10 +199,6 @@
             await self._engine.sleep(EVENT_SECONDS)
             yield events(number)
 
-    async def read(self, max_bytes: int) -> bytes:
-        """Return the whole stream."""
-        return b''.join([chunk async for chunk in self.chunks()])
-
     def close(self) -> None:
         """Do nothing."""
 
