Bound the answers of the store and of the backends of serve

Seen by callers of other operators: a host that keeps all that a faulty server sends runs out of memory. Here the clients other than that of the calls of `host` did so: they read whole bodies without a bound, kept any number of heads, and what came on idle connections.

Change: one function reads bodies, with a named limit of each client: 2 MiB from the store (it sends 1 MB at once) and 16 MiB for all pages of a topic, whose keys must rise, 64 MiB from the log, 4 MiB from the list of hosts and from services, 64 KiB of an engine's error, 16 MiB of collected events. Their sessions use the bounded connections. What is too large is unreadable or in doubt, never proof that a call did not run. Collected events are no longer decoded all at once.

--- a/src/burdockledge/backends/_http_engine.py
+++ b/src/burdockledge/backends/_http_engine.py
@@ -15,6 +15,7 @@
     TokenChunk,
 )
 from burdockledge.backends._sse import SseSplitter
+from burdockledge.http_client import read_body
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -26,6 +27,8 @@
 _CLIENT_ERRORS: Final = range(400, 500)
 _REQUEST_ID_HEADER: Final = 'X-Request-Id'
 _MAX_DETAIL_CHARACTERS: Final = 500
+# An error that is longer is no answer.
+_MAX_ERROR_BYTES: Final = 64 * 1024
 
 
 class HttpEngineClient(EngineClient):
@@ -121,7 +124,8 @@
     )
     if response_id not in {None, call.request_id}:
         return StreamEnd(EndKind.crossed)
-    detail = (await response.text(errors='replace'))[:_MAX_DETAIL_CHARACTERS]
+    body = await read_body(response, _MAX_ERROR_BYTES)
+    detail = body.decode(errors='replace')[:_MAX_DETAIL_CHARACTERS]
     if response.status == _UNAVAILABLE and response_id is not None:
         return StreamEnd(EndKind.refused, response.status, detail)
     if response.status in _CLIENT_ERRORS:
--- a/src/burdockledge/backends/_http_service.py
+++ b/src/burdockledge/backends/_http_service.py
@@ -13,10 +13,13 @@
     ServiceClient,
     ServiceReply,
 )
+from burdockledge.http_client import read_body
 
 if TYPE_CHECKING:
     from aiohttp import ClientResponse, ClientSession
 
+# A reply is held until it is complete.
+_MAX_REPLY_BYTES: Final = 4 * 1024 * 1024
 _UNAVAILABLE: Final = 503
 _NOT_EXECUTED_HEADER: Final = 'X-Not-Executed'
 _REQUEST_ID_HEADER: Final = 'X-Request-Id'
@@ -97,7 +100,7 @@
         ServiceReply(
             response.status,
             response.headers.get('Content-Type', 'application/json'),
-            await response.read(),
+            await read_body(response, _MAX_REPLY_BYTES),
         ),
     )
 
--- a/src/burdockledge/gateway/_assemble.py
+++ b/src/burdockledge/gateway/_assemble.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 from typing import Any, Final
 
@@ -14,16 +15,17 @@
 
     Each event counts as one token in ``completion_tokens``.
     """
-    chunks = [
-        json.loads(line[len(_DATA_PREFIX) :])
-        for line in events.split(b'\n')
-        if line.startswith(_DATA_PREFIX)
-    ]
-    if not chunks:
+    # Only the texts are kept: the decoded events take many times the memory.
+    last: dict[str, Any] | None = None
+    texts: list[str] = []
+    for line in io.BytesIO(events):
+        if line.startswith(_DATA_PREFIX):
+            last = json.loads(line[len(_DATA_PREFIX) :])
+            texts.append(_choice_text(last['choices'][0]))
+    if last is None:
         return {'object': 'text_completion', 'choices': []}
-    last = chunks[-1]
     is_chat = 'delta' in last['choices'][0]
-    text = ''.join(_choice_text(chunk['choices'][0]) for chunk in chunks)
+    text = ''.join(texts)
     choice: dict[str, Any] = {
         'index': 0,
         'finish_reason': last['choices'][0].get('finish_reason'),
@@ -37,7 +39,7 @@
         'object': 'chat.completion' if is_chat else 'text_completion',
         'model': last.get('model'),
         'choices': [choice],
-        'usage': {'completion_tokens': len(chunks)},
+        'usage': {'completion_tokens': len(texts)},
     }
 
 
--- a/src/burdockledge/gateway/_generation.py
+++ b/src/burdockledge/gateway/_generation.py
@@ -14,7 +14,13 @@
 
 from burdockledge.backends import EngineCall
 from burdockledge.claims import Outcome, parse_key
-from burdockledge.execution import Answer, AnswerEnd, AnswerPart
+from burdockledge.execution import (
+    Answer,
+    AnswerEnd,
+    AnswerPart,
+    Problem,
+    ProblemCode,
+)
 from burdockledge.gateway._admission import (
     IDEMPOTENCY_KEY_HEADER,
     IDEMPOTENT_HEADER,
@@ -48,6 +54,9 @@
     'Content-Type': 'text/event-stream',
     'Cache-Control': 'no-cache',
 }
+# Events of an answer that is not streamed, held until it is complete: a
+# hundred thousand tokens.
+_MAX_COLLECTED_BYTES: Final = 16 * 1024 * 1024
 _MS_PER_SECOND: Final = 1000
 
 
@@ -215,18 +224,23 @@
         context: RequestContext,
         answer_parts: AsyncGenerator[AnswerPart | AnswerEnd, None],
     ) -> Answer:
-        collected_events: list[bytes] = []
+        collected_events = bytearray()
         async with aclosing(answer_parts):
             async for part in answer_parts:
+                end: AnswerEnd | None
                 if isinstance(part, AnswerPart):
-                    collected_events.append(part.events)
+                    collected_events += part.events
+                    end = _oversized_end(len(collected_events))
+                else:
+                    end = part
+                if end is None:
                     continue
-                self._record_end(context, part)
-                if part.problem is not None:
-                    return Answer(part.outcome, problem=part.problem)
-                answer_json = assemble_answer(b''.join(collected_events))
+                self._record_end(context, end)
+                if end.problem is not None:
+                    return Answer(end.outcome, problem=end.problem)
+                answer_json = assemble_answer(bytes(collected_events))
                 return Answer(
-                    part.outcome,
+                    end.outcome,
                     200,
                     'application/json',
                     json.dumps(answer_json).encode(),
@@ -325,6 +339,19 @@
     )
 
 
+def _oversized_end(size: int) -> AnswerEnd | None:
+    """Return the end of an answer if it has too many bytes."""
+    if size <= _MAX_COLLECTED_BYTES:
+        return None
+    return AnswerEnd(
+        Outcome.unknown,
+        0,
+        Problem(
+            ProblemCode.backend_failed, 'the answer is too large to be held'
+        ),
+    )
+
+
 def _final_events(context: RequestContext, end: AnswerEnd) -> bytes:
     comment = f': outcome {end.outcome.value}\n\n'.encode()
     if end.problem is None:
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -13,6 +13,7 @@
 
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
+from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
 from burdockledge.peers import PeerKeys
@@ -382,7 +383,9 @@
     :param settings_modified_ns: the modification time of that file when
         ``settings`` were read from it.
     """
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(
+        connector=BoundedConnector(), read_bufsize=READ_BYTES
+    ) as session:
         host = RelayHost(settings, keys, session)
         watcher = SettingsWatcher(
             settings_path, settings_modified_ns, host.apply_settings
--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -8,6 +8,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from burdockledge.http_client import OversizedBodyError, read_body
 from burdockledge.platform import _names as names
 from burdockledge.platform._documents import strip_heartbeat
 from burdockledge.platform._store_records import (
@@ -21,13 +22,21 @@
 )
 from burdockledge.relay import CONFIGURATION_STREAM, SERVERS_STREAM
 from burdockledge.replication import RecordSource, SourceFailure
+from burdockledge.telemetry import make_logger
 from burdockledge.wire import StreamEntry, StreamUpdate
 
 if TYPE_CHECKING:
     from burdockledge.clock import Clock
 
+_log = make_logger('store')
+
 # The users' store takes up to 0.3 s for a response when it is slow.
 _CALL_TIMEOUT_SECONDS: Final = 0.9
+# Twice what the users' store sends at once: a megabyte of records.
+_MAX_ANSWER_BYTES: Final = 2 * 1024 * 1024
+# What the newest records of a topic may have on all pages: some ten thousand
+# servers.
+_MAX_TOPIC_BYTES: Final = 16 * 1024 * 1024
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
@@ -173,6 +182,7 @@
 
     async def _read_newest_pages(self, topic: str) -> list[NewestPage]:
         pages: list[NewestPage] = []
+        size = 0
         query = {'topic': topic, 'part': '0'}
         while True:
             status, body = await self._call('GET', names.NEWEST_PATH, query)
@@ -186,6 +196,12 @@
             pages.append(page)
             if page.next_after is None:
                 return pages
+            size += len(body)
+            if size > _MAX_TOPIC_BYTES or page.next_after <= query.get(
+                'after', ''
+            ):
+                _log.warning('Pages of a topic do not end.', topic=topic)
+                raise _StoreError(SourceFailure.unreadable)
             query['after'] = page.next_after
 
     async def _call(
@@ -204,7 +220,12 @@
                 data=body,
                 timeout=client_timeout,
             ) as response:
-                return response.status, await response.read()
+                return (
+                    response.status,
+                    await read_body(response, _MAX_ANSWER_BYTES),
+                )
+        except OversizedBodyError as error:
+            raise _StoreError(SourceFailure.unreadable) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _StoreError(SourceFailure.unavailable) from error
 
--- a/src/burdockledge/platform_api/_host_list.py
+++ b/src/burdockledge/platform_api/_host_list.py
@@ -10,12 +10,15 @@
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
+from burdockledge.http_client import read_body
 from burdockledge.platform_api._log import PlatformFailure
 
 if TYPE_CHECKING:
     from aiohttp import ClientSession
 
 _TIMEOUT_SECONDS: Final = 2
+# Some ten thousand hosts.
+_MAX_LIST_BYTES: Final = 4 * 1024 * 1024
 _HTTP_OK: Final = 200
 
 
@@ -65,7 +68,8 @@
             ) as response:
                 if response.status != _HTTP_OK:
                     return Err(PlatformFailure.unavailable)
-                return Ok(_ENTRIES_ADAPTER.validate_json(await response.read()))
+                body = await read_body(response, _MAX_LIST_BYTES)
+                return Ok(_ENTRIES_ADAPTER.validate_json(body))
         except (aiohttp.ClientError, TimeoutError, ValidationError):
             return Err(PlatformFailure.unavailable)
 
--- a/src/burdockledge/platform_api/_http_log.py
+++ b/src/burdockledge/platform_api/_http_log.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
+from burdockledge.http_client import read_body
 from burdockledge.platform_api._log import LogClient, LogPage, PlatformFailure
 
 if TYPE_CHECKING:
@@ -16,6 +17,9 @@
 _APPEND_TIMEOUT_SECONDS: Final = 2
 # Added to the time for which the log may hold a long poll open.
 _READ_MARGIN_SECONDS: Final = 3
+_MAX_APPEND_ANSWER_BYTES: Final = 64 * 1024
+# A page holds what the log has appended since the last one, or all it keeps.
+_MAX_PAGE_BYTES: Final = 64 * 1024 * 1024
 _HTTP_CREATED: Final = 201
 _HTTP_OK: Final = 200
 _HTTP_TOO_MANY_REQUESTS: Final = 429
@@ -54,7 +58,7 @@
             ) as response:
                 if response.status == _HTTP_CREATED:
                     appended = _AppendResponse.model_validate_json(
-                        await response.read(),
+                        await read_body(response, _MAX_APPEND_ANSWER_BYTES),
                     )
                     return Ok(appended.offset)
                 if response.status == _HTTP_TOO_MANY_REQUESTS:
@@ -84,7 +88,8 @@
             ) as response:
                 if response.status != _HTTP_OK:
                     return Err(PlatformFailure.unavailable)
-                return Ok(LogPage.model_validate_json(await response.read()))
+                body = await read_body(response, _MAX_PAGE_BYTES)
+                return Ok(LogPage.model_validate_json(body))
         except (aiohttp.ClientError, TimeoutError, ValidationError):
             return Err(PlatformFailure.unavailable)
 
--- a/src/burdockledge/serving.py
+++ b/src/burdockledge/serving.py
@@ -14,6 +14,7 @@
 from burdockledge.backends import HttpEngineClient, HttpServiceClient
 from burdockledge.clock import SystemClock
 from burdockledge.gateway import Gateway
+from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import on_stop_signal
 from burdockledge.membership import UdpSocket
 from burdockledge.peers import LinkConfig, PeerKeys, TcpPeerBus, TlsContexts
@@ -100,13 +101,15 @@
 
 @contextlib.asynccontextmanager
 async def _open_sessions() -> AsyncIterator[ClientSessions]:
-    pooled_connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=_KEEPALIVE_SECONDS
-    )
-    unpooled_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    pooled_connector = BoundedConnector(keepalive_timeout=_KEEPALIVE_SECONDS)
+    unpooled_connector = BoundedConnector(force_close=True)
     async with (
-        aiohttp.ClientSession(connector=pooled_connector) as pooled,
-        aiohttp.ClientSession(connector=unpooled_connector) as unpooled,
+        aiohttp.ClientSession(
+            connector=pooled_connector, read_bufsize=READ_BYTES
+        ) as pooled,
+        aiohttp.ClientSession(
+            connector=unpooled_connector, read_bufsize=READ_BYTES
+        ) as unpooled,
     ):
         yield ClientSessions(pooled, unpooled)
 
--- /dev/null
+++ b/tests/http_client/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounded HTTP client."""
