Bound what callers who send without an end make a host hold

Each block that came after bytes which are no request was kept as one more error to answer, and a head was only measured when it was whole.

Change: after bytes that are no request nothing is read any more; 64 KiB are read and 8 KiB parsed at once; an unfinished head over four times the limit of whole ones gets 431.

--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -6,11 +6,14 @@
 import json
 from typing import TYPE_CHECKING, Any, Final
 
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
 from burdockledge.calls import CallerLimits
+from burdockledge.http_client import READ_BYTES
 from burdockledge.kernel import Service
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import BadCallError, decode_call
@@ -18,6 +21,7 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
+    from aiohttp.streams import StreamReader
     from aiohttp.web_request import BaseRequest
 
     from burdockledge.directory import Directory
@@ -38,6 +42,15 @@
 # Requests in flight when the listeners close are cancelled after this time,
 # unless the host has more left.
 _MIN_SHUTDOWN_SECONDS: Final = 0.05
+# Parsed at once: the text of an error holds what could not be parsed.
+_PARSE_BYTES: Final = 8 * 1024
+# An unfinished head may have this many times the limit of whole ones, which
+# leaves room for the target and for what has been read of the next request.
+_MAX_HEAD_SHARE: Final = 4
+_HEADERS_TOO_LARGE_RESPONSE: Final = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
 _HEADER_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -48,20 +61,48 @@
     """A caller connection with a time limit for the head of each request."""
 
     def __init__(
-        self, server: Server, header_timeout_seconds: float, **options: Any
+        self,
+        server: Server,
+        header_timeout_seconds: float,
+        header_bytes: int,
+        **options: Any,
     ) -> None:
         """Limit the time from the first byte of a request head to its last."""
         super().__init__(server, **options)
         self._header_timeout_seconds = header_timeout_seconds
         self._header_timer: asyncio.TimerHandle | None = None
+        # Whether bytes came that are no request.
+        self._is_broken = False
+        self._header_bytes = header_bytes
+        self._head_bytes = 0
+        self._last_payload: StreamReader = EMPTY_PAYLOAD
 
     @property
     def _awaits_request_head(self) -> bool:
         return not self._messages and self._current_request is None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is read from the socket at once."""
+        socket_transport: Any = transport
+        socket_transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
-        """Start the timer with a request head, and cancel it at its end."""
-        super().data_received(data)
+        """
+        Start the timer with a request head, and cancel it at its end.
+
+        What follows bytes that are no request is dropped: each part of it
+        would be kept as one more error to answer.
+        """
+        for start in range(0, max(1, len(data)), _PARSE_BYTES):
+            if self._is_broken:
+                return
+            piece = data[start : start + _PARSE_BYTES]
+            super().data_received(piece)
+            self._is_broken = bool(self._messages) and not isinstance(
+                self._messages[-1][0], RawRequestMessage
+            )
+            self._limit_head(len(piece))
         if not self._awaits_request_head:
             self._cancel_header_timer()
         elif self._header_timer is None:
@@ -79,6 +120,26 @@
             self._header_timer.cancel()
             self._header_timer = None
 
+    def _limit_head(self, size: int) -> None:
+        """Reject a head that grows far over the limit of whole ones."""
+        if self._messages:
+            self._last_payload = self._messages[-1][1]
+        # The rest of a rejected request is still read for a while.
+        is_in_body = not self._last_payload.is_eof()
+        if is_in_body or not self._awaits_request_head:
+            self._head_bytes = 0
+            return
+        self._head_bytes += size
+        if self._head_bytes > _MAX_HEAD_SHARE * self._header_bytes:
+            _log.info('Head of a request has no end.', bytes=self._head_bytes)
+            self._is_broken = True
+            self._close_with(_HEADERS_TOO_LARGE_RESPONSE)
+
+    def _close_with(self, response: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(response)
+        self.force_close()
+
     def _on_header_timeout(self) -> None:
         self._header_timer = None
         if self.transport is None or not self._awaits_request_head:
@@ -86,8 +147,7 @@
         _log.info(
             'Head of a request is late.', seconds=self._header_timeout_seconds
         )
-        self.transport.write(_HEADER_TIMEOUT_RESPONSE)
-        self.force_close()
+        self._close_with(_HEADER_TIMEOUT_RESPONSE)
 
 
 class _CallerServer(Server):
@@ -100,10 +160,12 @@
         return _CallerConnection(
             self,
             self.limits.header_timeout_seconds,
+            self.limits.header_bytes,
             loop=self._loop,
             auto_decompress=False,
             keepalive_timeout=self.limits.idle_timeout_seconds,
             lingering_time=_LINGER_SECONDS,
+            read_bufsize=READ_BYTES,
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
         )
--- a/tests/platform_adapter/test_front.py
+++ b/tests/platform_adapter/test_front.py
@@ -332,3 +332,15 @@
         assert (own_address in response) is not bool(changes)
 
     run_with_front(respond_ok, test)
+
+
+def test_the_rest_of_a_rejected_request_is_no_head() -> None:
+    """Guards against a second error response after the first one."""
+    body = b'z' * (5 * 1024 * 1024)
+
+    async def test(harness: FrontHarness) -> None:
+        response = await harness.send(request_bytes(body=body), 1.5)
+        assert response.startswith(b'HTTP/1.1 413')
+        assert response.count(b'HTTP/1.1') == 1
+
+    run_with_front(respond_ok, test)
