--- a/src/burdockledge/backends/__init__.py
+++ b/src/burdockledge/backends/__init__.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-from burdockledge.backends._connector import (
-    BackendConnection,
-    BackendConnector,
-)
 from burdockledge.backends._engine import (
     EndKind,
     EngineCall,
@@ -24,8 +20,6 @@
 from burdockledge.backends._sse import SseSplitter
 
 __all__ = (
-    'BackendConnection',
-    'BackendConnector',
     'CallFailure',
     'EndKind',
     'EngineCall',
--- a/src/burdockledge/bench/_host_tables.py
+++ b/src/burdockledge/bench/_host_tables.py
@@ -151,16 +151,10 @@
         'never',
     ),
     (
-        '`GossipExchange._assemblers`',
-        'peer address',
-        '**none**: each address that ever sent a part of a note',
-        'never',
-    ),
-    (
-        '`NoteAssembler._chunks`',
-        'part of a note',
-        'parts of one note, until the next one',
-        'with a complete or newer note',
+        '`NoteAssembler._incomplete`',
+        'sender, note',
+        '10 MB of fragments in all',
+        'with the last fragment, or 2 s after the last one that came',
     ),
 )
 
--- a/tests/backends/test_cut_answers.py
+++ b/tests/backends/test_cut_answers.py
@@ -11,7 +11,6 @@
 from result import Err
 
 from burdockledge.backends import (
-    BackendConnector,
     CallFailure,
     EndKind,
     EngineCall,
@@ -21,6 +20,7 @@
     StreamEnd,
     TokenChunk,
 )
+from burdockledge.http_client import BoundedConnector
 from tests.platform_adapter.standin_server import reset_connection
 
 EVENT = b'data: {"id":"own"}\n\n'
@@ -94,7 +94,7 @@
         listener = await asyncio.start_server(server.handle, '127.0.0.1', 0)
         url = f'http://127.0.0.1:{listener.sockets[0].getsockname()[1]}'
         async with aiohttp.ClientSession(
-            connector=BackendConnector()
+            connector=BoundedConnector()
         ) as session:
             await test(url, server, session)
         listener.close()
