--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -147,3 +147,15 @@
     lag: float = 0.0
     started_at: float = 0.0
     ended_at: float = 0.0
+
+    def limit_of(self, server: str, now: float) -> float | None:
+        """Return the calls a second that a server names now, if any."""
+        return next(
+            (
+                limit.calls_per_second
+                for limit in self.limits
+                if limit.server == server
+                and limit.span.began <= now < limit.span.ended
+            ),
+            None,
+        )
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -148,13 +148,12 @@
     async def limit_server(self, random: Random, seconds: float) -> None:
         """Let a server name a limit for some seconds."""
         server = random.choice(self.servers)
-        server.limit = random.choice((0.5, 1.0, 2.5))
+        limit = random.choice((0.5, 1.0, 2.5))
         now = self.now()
         self.record.limits.append(
-            NamedLimit(server.name, server.limit, Span(now, now + seconds))
+            NamedLimit(server.name, limit, Span(now, now + seconds))
         )
         await asyncio.sleep(seconds)
-        server.limit = None
 
     async def _relieve(self, random: Random) -> SoakServer:
         """Start a server, and take one of its service out of the choice."""
--- a/tests/soak/_servers.py
+++ b/tests/soak/_servers.py
@@ -60,8 +60,6 @@
         self._state = 'ready'
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.fault: str | None = None
-        # Calls a second that this server names in its answers.
-        self.limit: float | None = None
         # Whether it says in its answers that it leaves.
         self.is_leaving = False
         # It refuses requests with one of these as Retry-After, if there are
@@ -240,8 +238,10 @@
     def _headers(self, request_id: str) -> dict[str, str]:
         headers = self._plain_headers(request_id)
         headers['Burdockledge-Response-Seal'] = self.name
-        if self.limit is not None:
-            headers['Server-Limit'] = f'{self.limit:g}'
+        # A server that starts again under its name has the same capacity.
+        limit = self._record.limit_of(self.name, time.monotonic())
+        if limit is not None:
+            headers['Server-Limit'] = f'{limit:g}'
         return headers
 
     def _plain_headers(self, request_id: str) -> dict[str, str]:
