--- /dev/null
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -0,0 +1,207 @@
+"""Connections of callers, with limits for what they may send."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, Final
+
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+from aiohttp.web_server import Server
+
+from burdockledge.calls import CallerLimits
+from burdockledge.http_client import READ_BYTES
+from burdockledge.telemetry import make_logger
+
+if TYPE_CHECKING:
+    from aiohttp.streams import StreamReader
+
+_log = make_logger('front')
+
+# The rest of a rejected request is read this long: closing at once would reset
+# the connection before the caller has read the response.
+_LINGER_SECONDS: Final = 1.0
+_SHUTDOWN_POLL_SECONDS: Final = 0.01
+# Parsed at once: the text of an error holds what could not be parsed.
+_PARSE_BYTES: Final = 8 * 1024
+# An unfinished head may have this many times the limit of whole ones, which
+# leaves room for the target and for what has been read of the next request.
+_MAX_HEAD_SHARE: Final = 4
+_HEADERS_TOO_LARGE_RESPONSE: Final = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+_HEADER_TIMEOUT_RESPONSE: Final = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+
+_Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
+
+
+class CallerConnection(RequestHandler):
+    """A caller connection with a time limit for the head of each request."""
+
+    def __init__(
+        self,
+        server: CallerServer,
+        header_timeout_seconds: float,
+        header_bytes: int,
+        **options: Any,
+    ) -> None:
+        """Limit the time from the first byte of a request head to its last."""
+        super().__init__(server, **options)
+        self._server = server
+        self._header_timeout_seconds = header_timeout_seconds
+        self._header_timer: asyncio.TimerHandle | None = None
+        # Whether bytes came that are no request.
+        self._is_broken = False
+        self._header_bytes = header_bytes
+        self._head_bytes = 0
+        self._last_payload: StreamReader = EMPTY_PAYLOAD
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request has arrived behind the current one."""
+        return bool(self._messages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for the head of a request."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def _awaits_request_head(self) -> bool:
+        return not self._messages and self._current_request is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """
+        Limit what is read from the socket at once.
+
+        A connection that was accepted as the server closes is closed.
+        """
+        socket_transport: Any = transport
+        socket_transport.max_size = READ_BYTES
+        super().connection_made(transport)
+        if self._server.is_shutting_down:
+            self.force_close()
+
+    def data_received(self, data: bytes) -> None:
+        """
+        Start the timer with a request head, and cancel it at its end.
+
+        What follows bytes that are no request is dropped: each part of it
+        would be kept as one more error to answer.
+        """
+        for start in range(0, max(1, len(data)), _PARSE_BYTES):
+            if self._is_broken:
+                return
+            piece = data[start : start + _PARSE_BYTES]
+            super().data_received(piece)
+            self._is_broken = bool(self._messages) and not isinstance(
+                self._messages[-1][0], RawRequestMessage
+            )
+            self._limit_head(len(piece))
+        if not self._awaits_request_head:
+            self._cancel_header_timer()
+        elif self._header_timer is None:
+            self._header_timer = self._loop.call_later(
+                self._header_timeout_seconds, self._on_header_timeout
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the timer with the connection."""
+        self._cancel_header_timer()
+        super().connection_lost(exc)
+
+    def _cancel_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _limit_head(self, size: int) -> None:
+        """Reject a head that grows far over the limit of whole ones."""
+        if self._messages:
+            self._last_payload = self._messages[-1][1]
+        # The rest of a rejected request is still read for a while.
+        is_in_body = not self._last_payload.is_eof()
+        if is_in_body or not self._awaits_request_head:
+            self._head_bytes = 0
+            return
+        self._head_bytes += size
+        if self._head_bytes > _MAX_HEAD_SHARE * self._header_bytes:
+            _log.info('Head of a request has no end.', bytes=self._head_bytes)
+            self._is_broken = True
+            self._close_with(_HEADERS_TOO_LARGE_RESPONSE)
+
+    def _close_with(self, response: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(response)
+        self.force_close()
+
+    def _on_header_timeout(self) -> None:
+        self._header_timer = None
+        if self.transport is None or not self._awaits_request_head:
+            return
+        _log.info(
+            'Head of a request is late.', seconds=self._header_timeout_seconds
+        )
+        self._close_with(_HEADER_TIMEOUT_RESPONSE)
+
+
+class CallerServer(Server):
+    """Creates caller connections with the limits of the configuration."""
+
+    limits = CallerLimits()
+
+    def __init__(self, handler: _Handler) -> None:
+        """Create a server that cancels the calls of callers that leave."""
+        super().__init__(handler, handler_cancellation=True)
+        # Set when the listeners have closed.
+        self.is_shutting_down = False
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(
+            self,
+            self.limits.header_timeout_seconds,
+            self.limits.header_bytes,
+            loop=self._loop,
+            auto_decompress=False,
+            keepalive_timeout=self.limits.idle_timeout_seconds,
+            lingering_time=_LINGER_SECONDS,
+            read_bufsize=READ_BYTES,
+            max_line_size=self.limits.header_bytes,
+            max_field_size=self.limits.header_bytes,
+        )
+
+    async def finish_requests(self, timeout_seconds: float) -> None:
+        """
+        Close each connection once its requests are answered.
+
+        The base class would close at once, and not read what is still to
+        arrive of a request.
+        """
+        self.is_shutting_down = True
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_seconds
+        while self._close_idle_connections() and loop.time() < ends_at:
+            await asyncio.sleep(_SHUTDOWN_POLL_SECONDS)
+
+    def _close_idle_connections(self) -> int:
+        """Return the number of connections that are not idle."""
+        busy_count = 0
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                if connection.is_idle:
+                    connection.force_close()
+                else:
+                    busy_count += 1
+        return busy_count
+
+
+__all__ = ('CallerConnection', 'CallerServer')
