Read the clock once as a configuration comes into force

The method read the clock three times, though the change had given it the time in a variable. Behaviour is unchanged. tests/relay/test_replicated_state.py, tests/test_host.py and linters pass.

--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -382,12 +382,10 @@
             version=document.version,
             routes=len(document.routes),
             keys=len(document.teams_by_api_key),
-            age_ms=self._exchange.state(CONFIGURATION_STREAM).age_ms(
-                self._clock.monotonic()
-            ),
+            age_ms=self._exchange.state(CONFIGURATION_STREAM).age_ms(now),
             source=self._exchange.sources.get(CONFIGURATION_STREAM),
         )
-        for instance in self._registry.all_instances(self._clock.monotonic()):
+        for instance in self._registry.all_instances(now):
             self._set_cache_size(instance)
         if self.on_routes is not None:
             self.on_routes(self._routes)
