Render counters, gauges and summaries by one loop

Three loops of the same shape divided each kind of metric into parts. One function now does it, given the kind, the size of a part and the format of a series. The text and its parts are unchanged: the tests of telemetry and of the metrics of many routes pass, with linters and types.

--- a/src/burdockledge/telemetry/_metrics.py
+++ b/src/burdockledge/telemetry/_metrics.py
@@ -28,8 +28,6 @@
 GaugeReader = Callable[[], float]
 _SeriesT = TypeVar('_SeriesT')
 _Families = dict[str, dict[_Labels, _SeriesT]]
-_Part = list[tuple[_Labels, _SeriesT]]
-_Family = tuple[str, _Part[_SeriesT]]
 
 
 class Metrics:
@@ -109,27 +107,15 @@
 
         Metrics may change between the parts.
         """
-        for name, counters in _sorted_families(self._counters):
-            yield f'# TYPE {name} counter\n'
-            for counter_part in _split(counters, _VALUES_PER_PART):
-                yield ''.join(
-                    f'{name}{_format_labels(labels)} {total}\n'
-                    for labels, total in counter_part
-                )
-        for name, gauges in _sorted_families(self._gauges):
-            yield f'# TYPE {name} gauge\n'
-            for gauge_part in _split(gauges, _VALUES_PER_PART):
-                yield ''.join(
-                    f'{name}{_format_labels(labels)} {read_gauge()}\n'
-                    for labels, read_gauge in gauge_part
-                )
-        for name, summaries in _sorted_families(self._summaries):
-            yield f'# TYPE {name} summary\n'
-            for summary_part in _split(summaries, _SUMMARIES_PER_PART):
-                yield ''.join(
-                    _format_summary(name, labels, durations)
-                    for labels, durations in summary_part
-                )
+        yield from _render_families(
+            self._counters, 'counter', _VALUES_PER_PART, _format_value
+        )
+        yield from _render_families(
+            self._gauges, 'gauge', _VALUES_PER_PART, _format_gauge
+        )
+        yield from _render_families(
+            self._summaries, 'summary', _SUMMARIES_PER_PART, _format_summary
+        )
 
     def _known_labels(self, labels: dict[str, str]) -> _Labels:
         for label, known in self._known_texts.items():
@@ -138,17 +124,30 @@
         return _make_labels(labels)
 
 
-def _sorted_families(
+def _render_families(
     families: _Families[_SeriesT],
-) -> Iterator[_Family[_SeriesT]]:
-    """Yield each exported name with its series of that moment."""
-    for name in sorted(families):
-        yield f'burdockledge_{name}', list(families[name].items())
-
-
-def _split(series: _Part[_SeriesT], size: int) -> Iterator[_Part[_SeriesT]]:
-    for start in range(0, len(series), size):
-        yield series[start : start + size]
+    kind: str,
+    series_per_part: int,
+    format_series: Callable[[str, _Labels, _SeriesT], str],
+) -> Iterator[str]:
+    """Yield the text of all metrics of a kind, each as of its first part."""
+    for family in sorted(families):
+        name = f'burdockledge_{family}'
+        series = list(families[family].items())
+        yield f'# TYPE {name} {kind}\n'
+        for start in range(0, len(series), series_per_part):
+            yield ''.join(
+                format_series(name, labels, current)
+                for labels, current in series[start : start + series_per_part]
+            )
+
+
+def _format_value(name: str, labels: _Labels, number: float) -> str:
+    return f'{name}{_format_labels(labels)} {number}\n'
+
+
+def _format_gauge(name: str, labels: _Labels, read_gauge: GaugeReader) -> str:
+    return _format_value(name, labels, read_gauge())
 
 
 def _format_summary(
