Drop the tried instances from the placement policy

Since the server gate leaves out the servers that a call has tried, every caller gave the policy an empty collection, and each placement filtered by it. The parameter and the filter are gone; the gate's tests hold what was left out. Tests change in the arguments of three calls only, no assertion. 150 tests of scheduling, bench, the routing state, notices and limits pass, with linters.

--- a/src/burdockledge/bench/_gate.py
+++ b/src/burdockledge/bench/_gate.py
@@ -79,7 +79,7 @@
     quiet_gate = ServerGate(registry, ServerRateLimits())
     busy_gate = _make_busy_gate(registry, instances)
     place = partial(
-        _make_policy(instances).choose, instances, _make_request(), (), _NOW
+        _make_policy(instances).choose, instances, _make_request(), _NOW
     )
     return GateCosts(
         server_count,
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -158,7 +158,6 @@
         choice = self._policy.choose(
             selection.instances,
             request,
-            (),
             now,
             self.limits.limits.limited_ids,
         )
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -134,33 +134,26 @@
         self,
         instances: list[ServerInstance],
         request: PlacementRequest,
-        tried_instance_ids: Collection[str],
         now: float,
         limited_instance_ids: Collection[str] = (),
     ) -> PlacementChoice | None:
         """
-        Return the server with the lowest cost, None if none is left to try.
+        Return the server with the lowest cost, None if there is none.
 
         Paused servers are used only if no other is left.
 
-        :param tried_instance_ids: instances that must not be chosen.
         :param limited_instance_ids: instances that take only so many calls a
             second. They are left to the calls that gain most there, and no
             parts are fetched from their caches.
         """
-        untried = [
-            instance
-            for instance in instances
-            if instance.instance_id not in tried_instance_ids
-        ]
         healthy = [
             instance
-            for instance in untried
+            for instance in instances
             if not self._health.is_paused(instance.instance_id, now)
         ]
         loads = (
             (instance, self._loads.load_of(instance.instance_id))
-            for instance in healthy or untried
+            for instance in healthy or instances
         )
         candidates = [
             _Candidate(
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -79,7 +79,7 @@
         self, request: PlacementRequest, has_first_event: bool = False
     ) -> str:
         """Place and start a call, and return the id of its instance."""
-        choice = self.policy.choose(self.instances, request, (), self.now)
+        choice = self.policy.choose(self.instances, request, self.now)
         assert choice is not None
         self.call_count += 1
         start = CallStart(
@@ -327,7 +327,7 @@
     loads.note_first_event(limited.instance_id, 1, 0.1)
     loads.end(limited.instance_id, 1)
     request = PlacementRequest(SERVICE, urgency, prompt(1, 3, 400), 'a')
-    choice = policy.choose(instances, request, (), 10, (limited.instance_id,))
+    choice = policy.choose(instances, request, 10, (limited.instance_id,))
     assert choice is not None
     assert (choice.instance == limited) is goes_to_limited
 
@@ -347,7 +347,7 @@
         )
     limited = (holder.instance_id,) if is_limited else ()
     choice = policy.choose(
-        [holder, other], long_prompt_request(1, 3), (), 1, limited
+        [holder, other], long_prompt_request(1, 3), 1, limited
     )
     assert choice is not None and choice.instance == other
     assert (choice.cache_source is None) is is_limited
