Send no request id twice on a connection

Callers saw: a request that runs at most once ran twice (TWICE), or got 503 though a server ran it (REFUSED).

Cause: the id of an answer names a request, not a send. A server that refuses a request and writes that refusal once more on the kept connection, where the same request is under way again, was believed: the id was the right one.

Class: what is told of one attempt counts for another one, since both have the same name.

The host itself sends no call twice to one instance, so the path needs a caller that uses its id again after a refusal, or one server under two ids or starts at one address, as connections are kept by address and tries by instance.

Change: a connection remembers the ids that it has carried, whatever the answer was, and the connector closes an idle one that has carried the id that is due. So an answer with that id on that connection is of this send. After 256 requests a connection is closed, which bounds what it remembers. A line tells each refusal with the number of requests its connection has carried; gauges count connections that were opened and closed so.

--- a/src/burdockledge/host_gauges.py
+++ b/src/burdockledge/host_gauges.py
@@ -49,6 +49,13 @@
     metrics.set_gauge_function(
         'prompt_parts_suspected', lambda: len(quarantine.suspected)
     )
+    client = host.server_client
+    metrics.set_gauge_function(
+        'server_connections_opened', lambda: client.opened_connections
+    )
+    metrics.set_gauge_function(
+        'server_connections_unsuitable', lambda: client.unsuitable_connections
+    )
     notices = host.routing_state.gate.notices
     metrics.set_gauge_function('servers_leaving', lambda: notices.leaving_count)
     metrics.set_gauge_function(
--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
@@ -19,8 +18,11 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from aiohttp import ClientRequest, ClientTimeout
+    from aiohttp.connector import Connection
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
+    from aiohttp.tracing import Trace
 
 _log = make_logger('http')
 
@@ -34,6 +36,8 @@
 _MAX_HEADS: Final = 16
 # Heads, chunk sizes and trailers between two parts of a body.
 _MAX_FRAMING_BYTES: Final = 128 * 1024
+# Requests that one connection carries, which bounds the ids that it keeps.
+_MAX_REQUESTS: Final = 256
 _VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
 _FIRST_STATUS: Final = 100
 _SWITCHING_PROTOCOLS: Final = 101
@@ -50,9 +54,34 @@
         self._heads_left = 0
         self._body_bytes = 0
         self._framing_bytes = 0
+        # Hashes of the ids of all requests before.
+        self._carried_ids: set[int] = set()
         # Named in log lines.
         self.request_id: str | None = None
 
+    @property
+    def request_count(self) -> int:
+        """The number of requests with an id that the connection carried."""
+        return len(self._carried_ids)
+
+    def begin_request(self, request_id: str | None) -> bool:
+        """
+        Return whether the connection may carry a request.
+
+        It carries no id twice: a late copy of an answer names the request,
+        not the send, so it could pass for the answer to the later one.
+        """
+        if request_id is not None:
+            hashed_id = hash(request_id)
+            if (
+                hashed_id in self._carried_ids
+                or len(self._carried_ids) >= _MAX_REQUESTS
+            ):
+                return False
+            self._carried_ids.add(hashed_id)
+        self.request_id = request_id
+        return True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what is read from the socket at once."""
         socket_transport: Any = transport
@@ -166,16 +195,55 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Opens any number of connections of one kind."""
+    """
+    Opens any number of connections of one kind.
+
+    ``opened_count`` counts the connections, ``unsuitable_count`` those that
+    were closed since they must not carry the request that was due.
+    """
 
     def __init__(
         self,
         connection_type: type[BoundedConnection] = BoundedConnection,
+        id_header: str | None = None,
         **options: Any,
     ) -> None:
-        """Create a connector; the options are those of the base class."""
+        """
+        Create a connector; the other options are those of the base class.
+
+        :param id_header: the request header with the id of a request, None
+            if requests have no ids.
+        """
         super().__init__(limit=0, **options)
-        self._factory: Any = functools.partial(connection_type, loop=self._loop)
+        self._connection_type = connection_type
+        self._id_header = id_header
+        self._factory: Any = self._create_protocol
+        self.opened_count = 0
+        self.unsuitable_count = 0
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Return a connection that has not carried the request before."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if not isinstance(protocol, BoundedConnection):
+                return connection
+            request_id = self._id_header and req.headers.get(self._id_header)
+            if protocol.begin_request(request_id):
+                return connection
+            self.unsuitable_count += 1
+            _log.debug(
+                'Connection is not used again.',
+                request=request_id,
+                carried=protocol.request_count,
+            )
+            connection.close()
+
+    def _create_protocol(self) -> BoundedConnection:
+        self.opened_count += 1
+        return self._connection_type(self._loop)
 
 
 def _is_of_protocol(message: RawResponseMessage) -> bool:
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -34,7 +34,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Mapping
 
     from aiohttp.connector import Connection
     from aiohttp.http import RawResponseMessage
@@ -101,6 +101,13 @@
         elif len(response_ids) > 1:
             self.reject('Answer has several ids.')
         self._has_answered = True
+        if _proves_not_run(message.code, message.headers):
+            _log.info(
+                'Server refuses a call.',
+                request=self.request_id,
+                status=message.code,
+                carried=self.request_count,
+            )
         if _is_success(message.code) and not message.headers.get(names.SEAL):
             self.force_close()
         return True
@@ -115,20 +122,18 @@
 _obstacle: ContextVar[Callable[[], str | None]] = ContextVar('obstacle')
 
 
-class _IdentifiedRequest(aiohttp.ClientRequest):
-    """A request that passes its id to its connection."""
+class _GuardedRequest(aiohttp.ClientRequest):
+    """A request that is not sent if it must not be any more."""
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """
-        Send the request, and expect a response with the same id.
+        Send the request.
 
         :raises _WithheldError: if the call must not be sent any more.
         """
         obstacle = _obstacle.get()()
         if obstacle is not None:
             raise _WithheldError(obstacle)
-        if isinstance(conn.protocol, _ServerConnection):
-            conn.protocol.request_id = self.headers.get(names.REQUEST_ID)
         return await super().send(conn)
 
 
@@ -149,10 +154,7 @@
         self._response = response
         self.status = response.status
         self.headers: Headers = response_headers(response.raw_headers)
-        self.proves_not_run = (
-            response.status == _MISDIRECTED_REQUEST
-            or names.NOT_RUN in response.headers
-        )
+        self.proves_not_run = _proves_not_run(response.status, response.headers)
         self.has_seal = bool(response.headers.get(names.SEAL))
         self.call_rate_limit = call_rate_limit(
             response.headers.getall(names.CALL_RATE_LIMIT, ())
@@ -193,14 +195,16 @@
 
     def __init__(self) -> None:
         """Create a client; requires a running event loop."""
+        self._connector = BoundedConnector(
+            _ServerConnection,
+            id_header=names.REQUEST_ID,
+            keepalive_timeout=_KEEPALIVE_SECONDS,
+            socket_factory=_create_socket,
+        )
         self._session = aiohttp.ClientSession(
-            connector=BoundedConnector(
-                _ServerConnection,
-                keepalive_timeout=_KEEPALIVE_SECONDS,
-                socket_factory=_create_socket,
-            ),
+            connector=self._connector,
             read_bufsize=READ_BYTES,
-            request_class=_IdentifiedRequest,
+            request_class=_GuardedRequest,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
@@ -212,6 +216,16 @@
         # decides whether a call may be repeated.
         self._session._retry_connection = False  # noqa: SLF001
 
+    @property
+    def opened_connections(self) -> int:
+        """The number of connections that were opened."""
+        return self._connector.opened_count
+
+    @property
+    def unsuitable_connections(self) -> int:
+        """The number of idle connections closed as they had carried a call."""
+        return self._connector.unsuitable_count
+
     async def close(self) -> None:
         """Close every connection."""
         await self._session.close()
@@ -246,6 +260,10 @@
         return Ok(_HttpServerResponse(response))
 
 
+def _proves_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    return status == _MISDIRECTED_REQUEST or names.NOT_RUN in headers
+
+
 def _is_success(status: int) -> bool:
     return _FIRST_SUCCESS <= status < _MULTIPLE_CHOICES
 
