Let the stand-in store be restored from a copy

All its responses, refusals too, name the era in Store-Era. A restore takes back what was written since a copy, whoever wrote it; offsets are given out again, and a read from one that is not there gets 410 with the first.

The tests that use the stand-in store pass as they were (test_store, test_odd_records).

--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -4,10 +4,16 @@
 
 import base64
 import struct
+import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from aiohttp import web
 
+ERA_HEADER = 'Store-Era'
+Raw = TypeVar('Raw')
+
 
 @dataclass
 class StandInStore:
@@ -19,7 +25,7 @@
     ``next_statuses`` the error statuses of the next calls. ``raw_records``
     and ``raw_items`` replace records, by topic and offset, as they are sent
     by the two ways of reading. ``read_bytes`` is the size at which a read is
-    cut.
+    cut. ``era`` rises with each restore.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = field(default_factory=dict)
@@ -29,11 +35,80 @@
     read_bytes: int = 1024 * 1024
     raw_records: dict[tuple[str, int], bytes] = field(default_factory=dict)
     raw_items: dict[tuple[str, int], object] = field(default_factory=dict)
+    era: int = 1
+    # The time of each record that was written by a call of this class, and
+    # the end of its topic then.
+    _writes: list[tuple[float, str, int]] = field(default_factory=list)
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Respond to one call."""
         if self.next_statuses:
-            return web.Response(status=self.next_statuses.pop(0))
+            return self.refuse(self.next_statuses.pop(0))
+        response = await self._respond(request)
+        response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    def refuse(self, status: int) -> web.Response:
+        """Return a refusal, which names the era like any other response."""
+        return web.Response(status=status, headers={ERA_HEADER: str(self.era)})
+
+    def write(self, topic: str, key: str, content: bytes) -> int:
+        """Append a record and return its offset."""
+        records = self.topics.setdefault(topic, [])
+        records.append((key, content))
+        self._writes.append((time.monotonic(), topic, len(records)))
+        return len(records) - 1
+
+    def ends(self) -> dict[str, int]:
+        """Return the offset after the last record of each topic."""
+        return {topic: len(records) for topic, records in self.topics.items()}
+
+    def ends_at(self, at: float) -> dict[str, int]:
+        """
+        Return the offset after the last record that a past copy has.
+
+        :param at: when the copy was made, in monotonic seconds. Records that
+            :meth:`write` did not write are taken for older ones.
+        """
+        ends = self.ends()
+        for written_at, topic, end in reversed(self._writes):
+            if written_at <= at:
+                break
+            ends[topic] = min(ends[topic], end - 1)
+        return ends
+
+    def restore(
+        self, ends: Mapping[str, int]
+    ) -> dict[str, list[tuple[str, bytes]]]:
+        """
+        Return to a copy and begin the next era.
+
+        The offsets from the ends of the copy on are given out again. Nothing
+        is written again here: the operator and the servers do that.
+
+        :param ends: see :meth:`ends`; topics without one are gone.
+        :return: the records that are gone, in order, by topic.
+        """
+        self.era += 1
+        lost = {
+            topic: records[ends.get(topic, 0) :]
+            for topic, records in self.topics.items()
+        }
+        for topic, records in tuple(self.topics.items()):
+            end = ends.get(topic, 0)
+            del records[end:]
+            if topic not in ends:
+                del self.topics[topic]
+            if topic in self.first_offsets:
+                self.first_offsets[topic] = min(self.first_offsets[topic], end)
+        self._writes = [
+            write for write in self._writes if write[2] <= ends.get(write[1], 0)
+        ]
+        self.raw_records = _before(self.raw_records, ends)
+        self.raw_items = _before(self.raw_items, ends)
+        return lost
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         topic = request.rel_url.query['topic']
         if request.path.endswith('log-append'):
             return self._append(topic, await request.read())
@@ -47,16 +122,13 @@
         (length,) = struct.unpack_from('>I', body)
         record = body[4 : 4 + length]
         key_end = 1 + record[0]
-        records = self.topics.setdefault(topic, [])
-        records.append((record[1:key_end].decode(), record[key_end:]))
-        return web.json_response(
-            {'offset': len(records) - 1, 'end': len(records)}
-        )
+        offset = self.write(topic, record[1:key_end].decode(), record[key_end:])
+        return web.json_response({'offset': offset, 'end': offset + 1})
 
     def _read(self, topic: str, start: int) -> web.Response:
         records = self.topics[topic]
         first_offset = self.first_offsets.get(topic, 0)
-        if start < first_offset:
+        if not first_offset <= start <= len(records):
             return web.json_response({'first': first_offset}, status=410)
         body = struct.pack('>QQ', len(records), first_offset)
         for offset, (key, content) in enumerate(records[start:], start):
@@ -90,3 +162,13 @@
                 'end': len(self.topics[topic]),
             },
         )
+
+
+def _before(
+    raw: dict[tuple[str, int], Raw], ends: Mapping[str, int]
+) -> dict[tuple[str, int], Raw]:
+    return {
+        (topic, offset): content
+        for (topic, offset), content in raw.items()
+        if offset < ends.get(topic, 0)
+    }
