Order the records of the store by era

Cause: an offset orders records only until the store is restored; then offsets go back and are given out again.

Change: an era, which the store names in each answer, goes before each position: in streams, updates, pulls, lags and what is known to be missing. A later era is taken over by one whole read, which peers pull; a tail read in another era than its position, pages of two eras and answers of an earlier one are not used. Messages of hosts that know no eras count as of the own era until a host has seen two.

The stream mirrors the store; what is in force does not go back. A registration in the copy that contradicts what its server had said since (gone, draining, started anew) is held back for 5 s or until it is written again, and one that the copy lacks counts on for the grace of an outage. Hosts register again, spread over 50 ms a host.

--- a/src/burdockledge/host_gauges.py
+++ b/src/burdockledge/host_gauges.py
@@ -75,6 +75,10 @@
         'configuration_in_force_seconds',
         host.routing_state.configuration_seconds,
     )
+    metrics.set_gauge_function(
+        'registrations_in_doubt',
+        lambda: host.routing_state.server_records.held_count,
+    )
     metrics.set_gauge_function('store_reads', lambda: reader.read_count)
     for failure in SourceFailure:
         metrics.set_gauge_function(
@@ -99,6 +103,11 @@
             partial(getattr, exchange.state(stream), 'position'),
             stream=stream,
         )
+        metrics.set_gauge_function(
+            'stream_era',
+            partial(getattr, exchange.state(stream), 'era'),
+            stream=stream,
+        )
         metrics.set_gauge_function(
             'stream_lag_seconds',
             partial(_stream_lag_seconds, host, stream),
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -36,6 +36,9 @@
 # with status 503 the seconds for which it wants no call from this host.
 SERVER_LEAVING: Final = 'Server-Leaving'
 RETRY_AFTER: Final = 'Retry-After'
+# In all answers of the store: rises by one each time that it is restored from a
+# copy of its records.
+STORE_ERA: Final = 'Store-Era'
 # The caller's API key, as ``Token KEY``.
 AUTHORIZATION: Final = 'Authorization'
 AUTHORIZATION_SCHEME: Final = 'Token'
--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
@@ -42,6 +42,8 @@
 _GONE: Final = 410
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 _MS_PER_SECOND: Final = 1000
+# Eras are 32-bit integers in the messages of the hosts.
+_MAX_ERA: Final = (1 << 31) - 1
 _TOPIC_BY_STREAM: Final = {
     CONFIGURATION_STREAM: names.CONFIGURATION_TOPIC,
     SERVERS_STREAM: names.SERVERS_TOPIC,
@@ -57,6 +59,19 @@
         self.failure = failure
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """
+    An answer of the store.
+
+    ``era`` is 0 if the store names none.
+    """
+
+    status: int
+    era: int
+    body: bytes
+
+
 class StoreClient(RecordSource):
     """Reads topics of the store and registers this host in one of them."""
 
@@ -73,13 +88,15 @@
         self._clock = clock
 
     async def read(
-        self, stream: str, position: int
+        self, stream: str, position: int, era: int = 0
     ) -> Result[StreamUpdate, SourceFailure]:
         """
         Read the records of a stream from a position on.
 
-        :param position: the first offset to read; if it is negative or no
-            longer kept, the newest record of each key is read instead.
+        :param position: the first offset to read; if it is negative, no
+            longer kept or of an earlier era, the newest record of each key is
+            read instead.
+        :param era: the era of the store to which the position belongs.
         :return: the records and their age, an upper bound in milliseconds.
         """
         requested_at = self._clock.monotonic()
@@ -87,9 +104,10 @@
         try:
             update = None
             if position >= 0:
-                update = await self._read_tail(stream, topic, position)
+                update = await self._read_tail(stream, topic, position, era)
             if update is None:
                 update = await self._read_newest(stream, topic)
+            _require_era(update.era, era)
         except _StoreError as error:
             return Err(error.failure)
         age_ms = (
@@ -110,7 +128,7 @@
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
         """Return the peer address of each host ever registered, by name."""
         try:
-            pages = await self._read_newest_pages(names.HOSTS_TOPIC)
+            _, pages = await self._read_newest_pages(names.HOSTS_TOPIC)
         except _StoreError as error:
             return Err(error.failure)
         addresses = {
@@ -131,7 +149,7 @@
     async def read_kept(self) -> Result[dict[str, bytes], SourceFailure]:
         """Return the kept records, by key."""
         try:
-            pages = await self._read_newest_pages(names.KEPT_TOPIC)
+            _, pages = await self._read_newest_pages(names.KEPT_TOPIC)
         except _StoreError as error:
             return Err(error.failure)
         return Ok(
@@ -146,64 +164,69 @@
         """Append a record; return whether the store accepted it."""
         query = {'topic': topic, 'part': '0'}
         try:
-            status, _ = await self._call(
+            answer = await self._call(
                 'POST', names.APPEND_PATH, query, encode_record(key, content)
             )
         except _StoreError:
             return False
-        return status == _OK
+        return answer.status == _OK
 
     async def _read_tail(
-        self, stream: str, topic: str, position: int
+        self, stream: str, topic: str, position: int, era: int
     ) -> StreamUpdate | None:
         """
         Return None if the records are to be read by their keys instead.
 
         The position may not be kept, the topic be missing, or the response be
         cut at its size limit: the newest record of each key takes fewer calls
-        then than what remains of the tail.
+        then than what remains of the tail. Or the store has come to a later
+        era, in which the position stands for another record.
         """
         query = {'topic': topic, 'part': '0', 'from': str(position)}
-        status, body = await self._call('GET', names.READ_PATH, query)
-        if status in {_GONE, _NOT_FOUND}:
+        answer = await self._call('GET', names.READ_PATH, query)
+        if answer.status in {_GONE, _NOT_FOUND}:
+            return None
+        _require_ok(answer.status)
+        _require_era(answer.era, era)
+        if answer.era > era:
             return None
-        _require_ok(status)
         try:
-            tail = decode_tail(topic, body, position)
+            tail = decode_tail(topic, answer.body, position)
         except StoreRecordsError as error:
             raise _StoreError(SourceFailure.unreadable) from error
         if tail.is_cut:
             return None
         entries = _strip_heartbeats(stream, tail.entries)
-        return StreamUpdate(stream, position, tail.end, 0, entries, False)
+        return StreamUpdate(stream, position, tail.end, 0, entries, False, era)
 
     async def _read_newest(self, stream: str, topic: str) -> StreamUpdate:
-        pages = await self._read_newest_pages(topic)
+        era, pages = await self._read_newest_pages(topic)
         entries = tuple(entry for page in pages for entry in page.entries)
         # Pages may differ in age: the next read starts at the end offset of the
         # first page, and repeats records that later pages already contain.
         end = pages[0].end
         return StreamUpdate(
-            stream, 0, end, 0, _strip_heartbeats(stream, entries), True
+            stream, 0, end, 0, _strip_heartbeats(stream, entries), True, era
         )
 
-    async def _read_newest_pages(self, topic: str) -> list[NewestPage]:
+    async def _read_newest_pages(
+        self, topic: str
+    ) -> tuple[int, list[NewestPage]]:
+        """Return the pages, which are of one era, and that era."""
         pages: list[NewestPage] = []
         size = 0
         query = {'topic': topic, 'part': '0'}
+        era: int | None = None
         while True:
-            status, body = await self._call('GET', names.NEWEST_PATH, query)
-            if status == _NOT_FOUND:
-                return [NewestPage((), 0)]
-            _require_ok(status)
-            try:
-                page = decode_newest_page(topic, body)
-            except StoreRecordsError as error:
-                raise _StoreError(SourceFailure.unreadable) from error
+            answer = await self._call('GET', names.NEWEST_PATH, query)
+            if era not in {None, answer.era}:
+                raise _StoreError(SourceFailure.outdated)
+            era = answer.era
+            page = _decode_page(topic, answer)
             pages.append(page)
             if page.next_after is None:
-                return pages
-            size += len(body)
+                return era, pages
+            size += len(answer.body)
             if size > _MAX_TOPIC_BYTES or page.next_after <= query.get(
                 'after', ''
             ):
@@ -217,7 +240,7 @@
         path: str,
         query: dict[str, str],
         body: bytes | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         client_timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS)
         try:
             async with self._session.request(
@@ -227,8 +250,9 @@
                 data=body,
                 timeout=client_timeout,
             ) as response:
-                return (
+                return _Answer(
                     response.status,
+                    _parse_era(response.headers.get(names.STORE_ERA)),
                     await read_body(response, _MAX_ANSWER_BYTES),
                 )
         except OversizedBodyError as error:
@@ -237,6 +261,17 @@
             raise _StoreError(SourceFailure.unavailable) from error
 
 
+def _decode_page(topic: str, answer: _Answer) -> NewestPage:
+    """Return the page in an answer, an empty one for a missing topic."""
+    if answer.status == _NOT_FOUND:
+        return NewestPage((), 0)
+    _require_ok(answer.status)
+    try:
+        return decode_newest_page(topic, answer.body)
+    except StoreRecordsError as error:
+        raise _StoreError(SourceFailure.unreadable) from error
+
+
 def _require_ok(status: int) -> None:
     if status in _REFUSED_STATUSES:
         raise _StoreError(SourceFailure.refused)
@@ -244,6 +279,25 @@
         raise _StoreError(SourceFailure.unreadable)
 
 
+def _require_era(era: int, known_era: int) -> None:
+    """Refuse an answer that was under way when the store was restored."""
+    if era < known_era:
+        raise _StoreError(SourceFailure.outdated)
+
+
+def _parse_era(header: str | None) -> int:
+    """Return the era that an answer names, 0 if it names none."""
+    if header is None:
+        return 0
+    try:
+        era = int(header)
+    except ValueError as error:
+        raise _StoreError(SourceFailure.unreadable) from error
+    if not 0 <= era <= _MAX_ERA:
+        raise _StoreError(SourceFailure.unreadable)
+    return era
+
+
 def _strip_heartbeats(
     stream: str, entries: tuple[StreamEntry, ...]
 ) -> tuple[StreamEntry, ...]:
--- a/src/burdockledge/registry/__init__.py
+++ b/src/burdockledge/registry/__init__.py
@@ -5,6 +5,7 @@
 from burdockledge.registry._registry import (
     EXPIRY_GRACE_SECONDS,
     OUTAGE_THRESHOLD_SECONDS,
+    RESTORE_DOUBT_SECONDS,
     Registration,
     ServerRegistry,
     ServerState,
@@ -13,6 +14,7 @@
 __all__ = (
     'EXPIRY_GRACE_SECONDS',
     'OUTAGE_THRESHOLD_SECONDS',
+    'RESTORE_DOUBT_SECONDS',
     'Registration',
     'ServerRegistry',
     'ServerState',
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -19,6 +20,12 @@
 # platform's pages). The last heartbeat may be one interval older than the
 # last read, so an outage longer than the remaining two may expire entries.
 OUTAGE_THRESHOLD_SECONDS: Final = 2.5
+# Entries of servers that have left stay in a store that is restored from a copy
+# until they expire: three missed heartbeats of 1.2 s, and the time until a host
+# reads that.
+RESTORE_DOUBT_SECONDS: Final = 5.0
+# The removals that are remembered to recognise entries of servers that left.
+_MAX_REMOVED: Final = 4096
 
 
 class ServerState(enum.Enum):
@@ -53,6 +60,11 @@
     heartbeats, so the server stays available for ``EXPIRY_GRACE_SECONDS``,
     in which a live server registers again.
 
+    A store that is restored from a copy lacks the newest registrations and
+    shows servers that have left since. So removals are delayed then, too, and
+    for ``RESTORE_DOUBT_SECONDS`` registrations are in doubt that contradict
+    what a server had said before.
+
     All times are in seconds of the monotonic clock.
     """
 
@@ -61,6 +73,34 @@
         self._entries: dict[str, _Entry] = {}
         self._last_read_at: float | None = None
         self._grace_until = 0.0
+        self._doubt_until = 0.0
+        # The start of each removed server, by its id.
+        self._removed: OrderedDict[str, int] = OrderedDict()
+
+    def note_restore(self, now: float) -> None:
+        """Note that the records are now those of a restored store."""
+        self._grace_until = max(self._grace_until, now + EXPIRY_GRACE_SECONDS)
+        self._doubt_until = now + RESTORE_DOUBT_SECONDS
+
+    def is_in_doubt(self, registration: Registration, now: float) -> bool:
+        """
+        Return whether a registration may be older than what is known.
+
+        That of a server that was removed or draining, or has started anew
+        since, proves nothing if it may come from a copy of the store.
+        """
+        if now >= self._doubt_until:
+            return False
+        instance = registration.instance
+        entry = self._entries.get(instance.server_id)
+        is_ready = registration.state is ServerState.ready
+        if entry is None:
+            removed_start = self._removed.get(instance.server_id, -1)
+            return is_ready and instance.started_ms <= removed_start
+        known = entry.registration
+        if instance.started_ms != known.instance.started_ms:
+            return instance.started_ms < known.instance.started_ms
+        return is_ready and known.state is ServerState.draining
 
     def note_store_read(self, read_at: float) -> None:
         """
@@ -87,6 +127,7 @@
         known = self._entries.get(registration.instance.server_id)
         if known == _Entry(registration):
             return False
+        self._removed.pop(registration.instance.server_id, None)
         self._entries[registration.instance.server_id] = _Entry(registration)
         return True
 
@@ -102,7 +143,7 @@
         if now < self._grace_until:
             entry.expires_at = self._grace_until
         else:
-            self._entries.pop(server_id)
+            self._drop(server_id)
         return True
 
     def ready_instances(self, service: str, now: float) -> list[ServerInstance]:
@@ -137,14 +178,22 @@
         """Yield the current entries, and drop those that expired."""
         for server_id, entry in tuple(self._entries.items()):
             if entry.expires_at is not None and entry.expires_at < now:
-                self._entries.pop(server_id)
+                self._drop(server_id)
                 continue
             yield entry
 
+    def _drop(self, server_id: str) -> None:
+        entry = self._entries.pop(server_id)
+        self._removed[server_id] = entry.registration.instance.started_ms
+        self._removed.move_to_end(server_id)
+        if len(self._removed) > _MAX_REMOVED:
+            self._removed.popitem(last=False)
+
 
 __all__ = (
     'EXPIRY_GRACE_SECONDS',
     'OUTAGE_THRESHOLD_SECONDS',
+    'RESTORE_DOUBT_SECONDS',
     'Registration',
     'ServerRegistry',
     'ServerState',
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -18,6 +18,7 @@
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
 from burdockledge.relay._server_gate import ServerGate
+from burdockledge.relay._server_records import ServerRecords
 from burdockledge.scheduling import (
     CallResult,
     CallStart,
@@ -85,6 +86,7 @@
         self._data_centre = data_centre
         self._decoder = decoder
         self._registry = registry
+        self.server_records = ServerRecords(decoder, registry)
         self._exchange = exchange
         self._budgets = RetryBudgets(retry_settings)
         self._clock = clock
@@ -103,6 +105,9 @@
         self._instance_ids_by_hash: dict[int, str] = {}
         self.host_count: Callable[[], int] = lambda: 1
         self.on_routes: Callable[[RouteIndex], None] | None = None
+        # Called once for each stream that is restored.
+        self.on_restore: Callable[[], None] | None = None
+        exchange.on_restore = self._note_restore
         exchange.on_change = self._apply_records
         exchange.on_call_events = self._apply_call_events
 
@@ -309,15 +314,17 @@
             self._registry.note_store_read(
                 now if fresh_at is None else fresh_at
             )
-        for entry in entries:
-            if stream == SERVERS_STREAM:
-                self._apply_server(entry, now)
-            elif entry.content is not None:
-                self._apply_configuration(entry.key, entry.content)
+        instances_added = self.server_records.release(now)
+        if stream == SERVERS_STREAM:
+            instances_added += self.server_records.apply(entries, now)
+        else:
+            self._apply_configurations(entries)
+        for instance in instances_added:
+            self._set_cache_size(instance)
         servers = self._exchange.state(SERVERS_STREAM)
         if self._routes is not None and servers.is_known:
             self._ready.set()
-        if entries:
+        if entries or instances_added:
             instances = self._registry.all_instances(now)
             self._loads.retain(instances)
             self._loads.retain_services(self._service_names())
@@ -329,27 +336,11 @@
             self._health.retain(instance_ids)
             self.limits.retain(instance_ids)
 
-    def _apply_server(self, entry: StreamEntry, now: float) -> None:
-        registration = None
-        if entry.content is not None:
-            registration = self._decoder.decode_registration(
-                entry.key, entry.content
-            )
-        if registration is None:
-            if self._registry.remove(entry.key, now):
-                _log.info('Server is gone.', server=entry.key)
-            return
-        if not self._registry.register(registration):
-            return
-        _log.info(
-            'Server is registered.',
-            server=entry.key,
-            service=registration.instance.service,
-            state=registration.state.value,
-            address=registration.instance.address,
-            born_ms=registration.instance.started_ms,
-        )
-        self._set_cache_size(registration.instance)
+    def _note_restore(self, stream: str) -> None:
+        if stream == SERVERS_STREAM:
+            self._registry.note_restore(self._clock.monotonic())
+        if self.on_restore is not None:
+            self.on_restore()
 
     def _set_cache_size(self, instance: ServerInstance) -> None:
         if self._routes is None:
@@ -360,6 +351,11 @@
                 instance.instance_id, configuration.engine.cache_tokens
             )
 
+    def _apply_configurations(self, entries: tuple[StreamEntry, ...]) -> None:
+        for entry in entries:
+            if entry.content is not None:
+                self._apply_configuration(entry.key, entry.content)
+
     def _apply_configuration(self, key: str, content: bytes) -> None:
         document = self._decoder.decode_routing(key, content)
         if document is None:
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -20,6 +20,7 @@
 )
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
+    NO_ERA,
     CrashSuspect,
     Note,
     NoteAssembler,
@@ -56,6 +57,7 @@
 _MS_PER_SECOND: Final = 1000
 # Instead of a digest, in evidence that needs no answer.
 _FINAL_EVIDENCE: Final = -1
+_UNKNOWN_PLACE: Final = (NO_ERA, UNKNOWN_POSITION)
 # The source of records that this host has read itself.
 STORE_SOURCE: Final = 'store'
 
@@ -84,6 +86,8 @@
     The evidence of a ``quarantine``, if there is one, is compared and
     exchanged with that of random peers in the same way.
 
+    ``on_restore`` is called with a stream whose records are now those of a
+    later era of the store, before ``on_change``.
     ``on_change`` is called after each merged update, also if nothing changed;
     ``on_call_events`` is called with each note that may hold call events.
     ``bootstrap_addresses`` returns addresses to pull from while no peer is
@@ -117,8 +121,8 @@
         # back. Hosts of older versions drop fragments with lower ones.
         self._last_note_number = clock.wall_ms() << _NOTE_NUMBER_BITS
         self._assembler = NoteAssembler()
-        # The positions that are known to be missing here, by stream.
-        self._streams_to_pull = dict.fromkeys(streams, UNKNOWN_POSITION)
+        # The places that are known to be missing here, by stream.
+        self._streams_to_pull = dict.fromkeys(streams, _UNKNOWN_PLACE)
         self.peers = KnownPeers(own_peer)
         self.lags = StreamLags()
         self.sources: dict[str, str] = {}
@@ -126,6 +130,7 @@
         self.call_events = CallEventSender(self.peers, self._send, random)
         self.bootstrap_addresses: Callable[[], list[str]] = list
         self.quarantine: Quarantine | None = None
+        self.on_restore: Callable[[str], None] | None = None
         self.on_change: StreamListener | None = None
         self.on_call_events: CallEventListener | None = None
 
@@ -147,16 +152,18 @@
 
     def publish(self, update: StreamUpdate) -> None:
         """Merge an update that this host read and push it to the others."""
-        former_position = self._states[update.stream].position
+        former = self._states[update.stream].place
         changed = self._merge(update)
-        if former_position < 0:
+        former_era, former_position = former
+        if former_position < 0 or update.era < former_era:
             return
         increment = replace(
             update, start=former_position, entries=changed, is_whole=False
         )
-        if update.is_whole and update.end > former_position:
+        if update.is_whole and (update.era, update.end) > former:
             # It lacks what came and went since, which hosts that are ahead of
-            # this one may hold: they pull the whole stream instead.
+            # this one, or in another era, may hold: they pull the whole stream
+            # instead.
             increment = replace(increment, start=update.end, entries=())
         self._gossip(increment)
         if changed:
@@ -213,6 +220,7 @@
                 stream,
                 self._states[stream].position,
                 self._states[stream].age_ms(now),
+                self._states[stream].era,
             )
             for stream in sorted(streams)
         ]
@@ -283,12 +291,17 @@
     def _note_positions(self, note: Note) -> None:
         """Note how far the streams of the sender of a note have come."""
         now = self._clock.monotonic()
-        positions = [(pull.stream, pull.position) for pull in note.pulls]
-        positions += [(update.stream, update.end) for update in note.updates]
-        for stream, position in positions:
+        positions = [
+            (pull.stream, pull.era, pull.position) for pull in note.pulls
+        ]
+        positions += [
+            (update.stream, update.era, update.end) for update in note.updates
+        ]
+        for stream, era, position in positions:
             state = self._states.get(stream)
-            if state is not None:
-                self.lags.note_peer(state, position, note.host, now)
+            place = None if state is None else state.place_of(era, position)
+            if state is not None and place is not None:
+                self.lags.note_peer(state, place, note.host, now)
 
     def _evidence_digest(self) -> int | None:
         return None if self.quarantine is None else self.quarantine.digest
@@ -327,7 +340,7 @@
     def _answer_pulls(self, pulls: list[StreamPull], source: str) -> None:
         now = self._clock.monotonic()
         updates = [
-            self._states[pull.stream].update_since(pull.position, now)
+            self._states[pull.stream].update_since(pull.position, now, pull.era)
             for pull in pulls
             if pull.stream in self._states and self._is_ahead_of(pull, now)
         ]
@@ -336,8 +349,13 @@
 
     def _is_ahead_of(self, pull: StreamPull, now: float) -> bool:
         state = self._states[pull.stream]
-        if state.position != pull.position or not state.is_known:
-            return state.position > pull.position
+        if not state.is_known or pull.position < 0:
+            return state.is_known
+        place = state.place_of(pull.era, pull.position)
+        if place is None:
+            return pull.position < state.position
+        if place != state.place:
+            return place < state.place
         return pull.age_ms - state.age_ms(now) > _MIN_AGE_GAIN_MS
 
     def _forward_updates(self, note: Note) -> None:
@@ -358,21 +376,41 @@
         now = self._clock.monotonic()
         merged = state.merge(update, now)
         if merged.has_gap:
-            missing = self._streams_to_pull.get(update.stream, update.end)
-            self._streams_to_pull[update.stream] = max(missing, update.end)
-            if source != STORE_SOURCE:
-                self._pull(source, self._streams_to_pull)
+            self._pull_missing(state, update, source)
             return ()
+        if merged.is_restore:
+            self._note_restore(state, source)
         if merged.changed:
             self.sources[update.stream] = source
         self.lags.note_merge(state, source, now)
-        missing = self._streams_to_pull.get(update.stream, UNKNOWN_POSITION)
-        if state.is_known and state.position >= missing:
+        missing = self._streams_to_pull.get(update.stream, _UNKNOWN_PLACE)
+        if state.is_known and state.place >= missing:
             self._streams_to_pull.pop(update.stream, None)
         if self.on_change is not None:
             self.on_change(update.stream, merged.changed)
         return merged.changed
 
+    def _pull_missing(
+        self, state: StreamState, update: StreamUpdate, source: str
+    ) -> None:
+        """Pull what is missing before an update, until it is here."""
+        place = state.place_of(update.era, update.end) or _UNKNOWN_PLACE
+        missing = self._streams_to_pull.get(state.stream, place)
+        self._streams_to_pull[state.stream] = max(missing, place)
+        if source != STORE_SOURCE:
+            self._pull(source, self._streams_to_pull)
+
+    def _note_restore(self, state: StreamState, source: str) -> None:
+        _log.warning(
+            'Store was restored.',
+            stream=state.stream,
+            era=state.era,
+            position=state.position,
+            source=source,
+        )
+        if self.on_restore is not None:
+            self.on_restore(state.stream)
+
 
 __all__ = (
     'STORE_SOURCE',
--- a/src/burdockledge/replication/_lag.py
+++ b/src/burdockledge/replication/_lag.py
@@ -18,9 +18,9 @@
 
 @dataclass(slots=True)
 class _Lag:
-    """The position of a peer ahead, and since when the host is behind."""
+    """The place of a peer ahead, and since when the host is behind."""
 
-    position: int
+    place: tuple[int, int]
     peer: str
     since: float
     is_logged: bool = False
@@ -43,25 +43,31 @@
         return 0.0 if lag is None else now - lag.since
 
     def note_peer(
-        self, state: StreamState, position: int, peer: str, now: float
+        self,
+        state: StreamState,
+        place: tuple[int, int],
+        peer: str,
+        now: float,
     ) -> None:
-        """Note the position of a stream that a peer has named."""
-        if position <= state.position:
+        """Note the era and position of a stream that a peer has named."""
+        if place <= state.place:
             return
         lag = self._lags.get(state.stream)
         if lag is None:
-            lag = _Lag(position, peer, now)
+            lag = _Lag(place, peer, now)
             self._lags[state.stream] = lag
-        elif position > lag.position:
-            lag.position = position
+        elif place > lag.place:
+            lag.place = place
             lag.peer = peer
         if not lag.is_logged and now - lag.since > _MIN_LOGGED_LAG_SECONDS:
             lag.is_logged = True
             _log.warning(
                 'Stream is behind a peer.',
                 stream=state.stream,
+                era=state.era,
                 position=state.position,
-                peer_position=lag.position,
+                peer_era=lag.place[0],
+                peer_position=lag.place[1],
                 peer=lag.peer,
                 seconds=round(now - lag.since, 3),
             )
@@ -69,13 +75,14 @@
     def note_merge(self, state: StreamState, source: str, now: float) -> None:
         """Note that a stream has got records from a source."""
         lag = self._lags.get(state.stream)
-        if lag is None or state.position < lag.position:
+        if lag is None or state.place < lag.place:
             return
         self._lags.pop(state.stream)
         if lag.is_logged:
             _log.info(
                 'Stream has caught up.',
                 stream=state.stream,
+                era=state.era,
                 position=state.position,
                 source=source,
                 seconds=round(now - lag.since, 3),
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -31,6 +31,9 @@
 # store is back.
 _TURN_SLEEP_SECONDS: Final = 0.1
 _REGISTRATION_RETRY_SECONDS: Final = 1.0
+# Hosts that register again at the same time spread their writes so that the
+# store gets one in this time.
+_REGISTRATION_SPACING_SECONDS: Final = 0.05
 # The store is logged as lost after this many failed reads in a row.
 _FAILURES_UNTIL_LOST: Final = 2
 
@@ -82,6 +85,7 @@
         self._last_begun_at = 0.0
         self._turn_jitter = 0.0
         self._lost_streams: set[str] = set()
+        self._is_registering = True
         self.list_hosts: Callable[[], list[str]] = list
         self.on_registered_addresses: (
             Callable[[tuple[str, ...]], None] | None
@@ -102,6 +106,12 @@
         for schedule in self._schedules.values():
             schedule.set_period(period_seconds)
 
+    def note_restore(self) -> None:
+        """Register this host again in a store that may have lost it."""
+        if not self._is_registering:
+            self._is_registering = True
+            self.spawn(self._register_again())
+
     async def _read_forever(self, stream: str) -> None:
         while True:
             wait = self._due_at(stream) - self._clock.monotonic()
@@ -148,9 +158,8 @@
         self._last_begun_at = self._clock.monotonic()
         self._turn_jitter = self._random.random()
         was_failing = self._is_store_failing()
-        result = await self._source.read(
-            stream, self._exchange.state(stream).position
-        )
+        state = self._exchange.state(stream)
+        result = await self._source.read(stream, state.position, state.era)
         self._schedules[stream].record_read(
             result.is_ok(), self._clock.monotonic()
         )
@@ -180,11 +189,21 @@
                 why=failure.value,
             )
 
-    async def _register_and_list_hosts(self) -> None:
+    async def _register(self) -> None:
         while not await self._source.register(
             self._own_host, self._peer_address
         ):
             await self._wait_before_retry()
+        self._is_registering = False
+
+    async def _register_again(self) -> None:
+        spread = len(self.list_hosts()) * _REGISTRATION_SPACING_SECONDS
+        await asyncio.sleep(spread * self._random.random())
+        await self._register()
+        _log.info('Host is registered again.')
+
+    async def _register_and_list_hosts(self) -> None:
+        await self._register()
         result = await self._source.registered_hosts()
         while isinstance(result, Err):
             await self._wait_before_retry()
--- a/src/burdockledge/replication/_source.py
+++ b/src/burdockledge/replication/_source.py
@@ -18,6 +18,7 @@
     unavailable = 'the store did not answer'
     refused = 'the store refused the call'
     unreadable = 'the answer of the store can not be read'
+    outdated = 'the answer is of an earlier era of the store'
 
 
 class RecordSource(ABC):
@@ -25,13 +26,16 @@
 
     @abstractmethod
     async def read(
-        self, stream: str, position: int
+        self, stream: str, position: int, era: int = 0
     ) -> Result[StreamUpdate, SourceFailure]:
         """
         Read the records of a stream from an offset on.
 
         :param position: the first offset to read; a negative one reads the
             newest record of every key.
+        :param era: the era of the store to which the position belongs. If the
+            store has come to a later one, the newest record of every key is
+            read instead.
         """
 
     @abstractmethod
--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from burdockledge.wire import StreamEntry, StreamUpdate
+from burdockledge.wire import NO_ERA, StreamEntry, StreamUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -25,18 +25,23 @@
     The result of merging an update.
 
     ``changed`` holds the changed entries. With ``has_gap`` the update was not
-    merged, as records before its start are missing here.
+    merged, as records before its start are missing here. With ``is_restore``
+    it is the first one here of a later era of the store.
     """
 
     changed: tuple[StreamEntry, ...] = ()
     has_gap: bool = False
+    is_restore: bool = False
 
 
 class StreamState:
     """
     The records of a stream that one host holds.
 
-    All records below the offset ``position`` are merged; it never decreases.
+    All records below the offset ``position`` of the era ``era`` of the store
+    are merged. An offset orders records within its era only; the two together,
+    ``place``, never decrease. The records mirror what the store holds, also
+    where it has come back with older ones.
     ``fresh_at`` is the latest time, in seconds of the monotonic clock, at
     which the stream is known to have ended at ``position``.
     """
@@ -45,7 +50,10 @@
         """Create the state of a stream that has not been read."""
         self.stream = stream
         self.position = UNKNOWN_POSITION
+        self.era = NO_ERA
         self.fresh_at: float | None = None
+        # Whether the store was restored while this host held the stream.
+        self._has_crossed_eras = False
         self._entries: dict[str, StreamEntry] = {}
         # The newest removals; all from ``_removals_complete_from`` on are here.
         self._removals: OrderedDict[str, StreamEntry] = OrderedDict()
@@ -56,32 +64,63 @@
         """Whether the whole stream was read or received once."""
         return self.position != UNKNOWN_POSITION
 
+    @property
+    def place(self) -> tuple[int, int]:
+        """The era and the position."""
+        return self.era, self.position
+
+    def place_of(self, era: int, position: int) -> tuple[int, int] | None:
+        """
+        Return the place that another host names.
+
+        Hosts that know no eras are taken to be in the one of this host, until
+        it has seen two.
+
+        :return: None if it can not be told.
+        """
+        if era != NO_ERA:
+            return era, position
+        return None if self._has_crossed_eras else (self.era, position)
+
     def entries(self) -> tuple[StreamEntry, ...]:
         """Return the newest record of each key."""
         return tuple(self._entries.values())
 
     def merge(self, update: StreamUpdate, now: float) -> MergeResult:
         """Merge an update that was received at ``now``."""
-        if update.end < self.position:
+        place = self.place_of(update.era, update.end)
+        if place is None or place < self.place:
             return MergeResult()
+        is_new_era = place[0] > self.era
+        is_restore = is_new_era and self.is_known and self.era != NO_ERA
         if update.is_whole:
-            changed = self._merge_whole(update)
-        elif not self.is_known or update.start > self.position:
+            changed = self._merge_whole(update, is_new_era=is_new_era)
+        elif is_new_era or not self.is_known or update.start > self.position:
             return MergeResult(has_gap=True)
         else:
             changed = self._merge_tail(update)
+        self.era = place[0]
         self.position = update.end
+        self._has_crossed_eras |= is_restore
         fresh_at = now - update.age_ms / _MS_PER_SECOND
         self.fresh_at = max(self.fresh_at or fresh_at, fresh_at)
-        return MergeResult(changed)
+        return MergeResult(changed, is_restore=is_restore)
 
-    def update_since(self, position: int, now: float) -> StreamUpdate:
+    def update_since(
+        self, position: int, now: float, era: int = NO_ERA
+    ) -> StreamUpdate:
         """
-        Return the update for a host whose stream is at a position.
+        Return the update for a host whose stream is at a position of an era.
 
-        It is the whole stream if removals from that position on were dropped.
+        It is the whole stream if removals from that position on were dropped,
+        or if that is a position of another era.
         """
-        is_whole = position < self._removals_complete_from
+        place = self.place_of(era, position)
+        is_whole = (
+            place is None
+            or place[0] != self.era
+            or position < self._removals_complete_from
+        )
         start = 0 if is_whole else position
         removals = () if is_whole else self._removals.values()
         entries = (*self._entries.values(), *removals)
@@ -92,6 +131,7 @@
             age_ms=self.age_ms(now),
             entries=tuple(entry for entry in entries if entry.offset >= start),
             is_whole=is_whole,
+            era=self.era,
         )
 
     def age_ms(self, now: float) -> int:
@@ -103,7 +143,9 @@
         age_ms = int((now - (self.fresh_at or now)) * _MS_PER_SECOND)
         return min(max(0, age_ms), MAX_AGE_MS)
 
-    def _merge_whole(self, update: StreamUpdate) -> tuple[StreamEntry, ...]:
+    def _merge_whole(
+        self, update: StreamUpdate, *, is_new_era: bool
+    ) -> tuple[StreamEntry, ...]:
         keys = {entry.key for entry in update.entries}
         self._removals_complete_from = update.end
         removals = [
@@ -114,8 +156,11 @@
         newer = [
             entry
             for entry in update.entries
-            if entry.content is not None and self._is_newer(entry)
+            if entry.content is not None
+            and (is_new_era or self._is_newer(entry))
         ]
+        if is_new_era:
+            self._removals.clear()
         return self._apply((*removals, *newer))
 
     def _merge_tail(self, update: StreamUpdate) -> tuple[StreamEntry, ...]:
--- a/src/burdockledge/wire/__init__.py
+++ b/src/burdockledge/wire/__init__.py
@@ -31,6 +31,7 @@
 from burdockledge.wire._note_assembler import NoteAssembler
 from burdockledge.wire._notes import (
     DATAGRAM_PAYLOAD_BYTES,
+    NO_ERA,
     CallEnded,
     CallHeard,
     CallStarted,
@@ -49,6 +50,7 @@
 
 __all__ = (
     'DATAGRAM_PAYLOAD_BYTES',
+    'NO_ERA',
     'CallEnded',
     'CallHeard',
     'CallStarted',
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -21,6 +21,8 @@
 
 # Payload that fits into an Ethernet frame beside the headers and the MAC.
 DATAGRAM_PAYLOAD_BYTES: Final = 1200
+# The era of messages from hosts of versions that know none.
+NO_ERA: Final = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,8 @@
 
     With ``is_whole`` it holds the newest record of every key instead.
     ``age_ms`` is the time since the stream was known to end at ``end``.
+    Offsets order records within one ``era`` of the store, which begins when
+    the store comes back from a copy of its records.
     """
 
     stream: str
@@ -47,6 +51,7 @@
     age_ms: int
     entries: tuple[StreamEntry, ...]
     is_whole: bool
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +60,14 @@
     Asks a peer for records from ``position`` on.
 
     A peer at the same position answers if its last confirmation of it is
-    newer; ``age_ms`` is the age of that of the sender.
+    newer; ``age_ms`` is the age of that of the sender. The position holds in
+    one ``era`` of the store.
     """
 
     stream: str
     position: int
     age_ms: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,6 +296,7 @@
             build_struct(ttypes.StreamEntry, entry) for entry in update.entries
         ],
         is_whole=update.is_whole,
+        era=update.era,
     )
 
 
@@ -302,6 +310,7 @@
         age_ms=raw.age_ms or 0,
         entries=tuple(_build_entry(entry) for entry in raw.entries or ()),
         is_whole=bool(raw.is_whole),
+        era=raw.era,
     )
 
 
@@ -313,6 +322,7 @@
 
 __all__ = (
     'DATAGRAM_PAYLOAD_BYTES',
+    'NO_ERA',
     'CallEnded',
     'CallHeard',
     'CallStarted',
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -114,6 +114,7 @@
 
 // Records of a stream from ``start`` up to ``end``, complete as of ``age_ms``
 // ago. With ``is_whole`` it holds the newest record of every key instead.
+// Offsets are those of an era of the store, -1 if the sender knows no eras.
 struct StreamUpdate {
   1: string stream,
   2: i64 start,
@@ -121,6 +122,7 @@
   4: i64 age_ms,
   5: list<StreamEntry> entries,
   6: bool is_whole,
+  7: i32 era = -1,
 }
 
 // Asks a peer for the records of a stream from ``position`` on.
@@ -129,6 +131,8 @@
   2: i64 position,
   // The time since the sender's stream was known to end at ``position``.
   3: i32 age_ms = 0,
+  // The era of ``position``, -1 if the sender knows no eras.
+  4: i32 era = -1,
 }
 
 // A call sent to a backend server. ``server`` is the hash of the server's key,
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -35,7 +35,7 @@
     read_bytes: int = 1024 * 1024
     raw_records: dict[tuple[str, int], bytes] = field(default_factory=dict)
     raw_items: dict[tuple[str, int], object] = field(default_factory=dict)
-    era: int = 1
+    era: int = 0
     # The time of each record that was written by a call of this class, and
     # the end of its topic then.
     _writes: list[tuple[float, str, int]] = field(default_factory=list)
--- a/tests/platform_adapter/test_standin_store.py
+++ b/tests/platform_adapter/test_standin_store.py
@@ -78,7 +78,7 @@
     store = StandInStore({TOPIC: [('config', b'1')]})
 
     async def test(caller: Caller) -> None:
-        for era in (1, 2, 3):
+        for era in (0, 1, 2):
             store.next_statuses = [] if refusal is None else [refusal]
             response = await caller.call(path, body)
             assert response.status == status
@@ -140,4 +140,4 @@
     assert store.ends_at(time.monotonic()) == {TOPIC: 4}
     store.restore(store.ends_at(times[2]))
     assert [content for _, content in store.topics[TOPIC]] == [b'0', b'1']
-    assert store.era == 3
+    assert store.era == 2
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -15,8 +15,8 @@
 from burdockledge.platform import StoreClient
 from burdockledge.relay import CONFIGURATION_STREAM, SERVERS_STREAM
 from burdockledge.replication import SourceFailure
-from burdockledge.wire import StreamEntry
-from tests.platform_adapter.standin_store import StandInStore
+from burdockledge.wire import StreamEntry, StreamUpdate
+from tests.platform_adapter.standin_store import ERA_HEADER, StandInStore
 
 
 def run_with_store(
@@ -193,3 +193,87 @@
         assert await client.read_kept() == Err(SourceFailure.refused)
 
     run_with_store(store, test)
+
+
+def run_with_restored_store(
+    records: int, copied: int, again: int, position: int
+) -> StreamUpdate:
+    """Return what a host at a position reads after a restore."""
+    store = StandInStore({'keyed.op': [('config', b'0')] * records})
+    updates = []
+
+    async def test(client: StoreClient) -> None:
+        store.restore({'keyed.op': copied})
+        for number in range(again):
+            store.write('keyed.op', f'again {number}', b'1')
+        result = await client.read(CONFIGURATION_STREAM, position, 0)
+        updates.append(result.unwrap())
+
+    run_with_store(store, test)
+    return updates[0]
+
+
+@pytest.mark.parametrize('again', [0, 3, 6, 12])
+def test_a_restored_store_is_read_whole(again: int) -> None:
+    """Guards against a tail whose offsets were given out again."""
+    update = run_with_restored_store(10, 4, again, position=10)
+    assert update.is_whole
+    assert (update.era, update.end) == (1, 4 + again)
+    assert len(update.entries) == 1 + again
+
+
+@pytest.mark.parametrize('position', [-1, 1])
+def test_an_answer_of_an_earlier_era_is_left_out(position: int) -> None:
+    """It was under way when the store was restored."""
+    store = StandInStore({'keyed.op': [('config', b'0')]})
+
+    async def test(client: StoreClient) -> None:
+        outcome = await client.read(CONFIGURATION_STREAM, position, 1)
+        assert outcome == Err(SourceFailure.outdated)
+
+    run_with_store(store, test)
+
+
+class RestoredBetweenPages(StandInStore):
+    """A store that is restored after the first page of a read."""
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Respond to one call."""
+        if 'after' in request.rel_url.query and not self.era:
+            self.restore(self.ends())
+        return await super().handle(request)
+
+
+def test_pages_of_two_eras_are_not_joined() -> None:
+    """Guards against a list of servers that never was."""
+    store = RestoredBetweenPages(
+        {'keyed.servers': [(f's{number}', b'{}') for number in range(4)]},
+        page_size=2,
+    )
+
+    async def test(client: StoreClient) -> None:
+        outcome = await client.read(SERVERS_STREAM, -1)
+        assert outcome == Err(SourceFailure.outdated)
+        update = (await client.read(SERVERS_STREAM, -1)).unwrap()
+        assert (update.era, len(update.entries)) == (1, 4)
+
+    run_with_store(store, test)
+
+
+@pytest.mark.parametrize('era', ['', 'x', '1.5', '-1', str(1 << 31), '9' * 99])
+def test_an_era_that_can_not_be_read_fails_the_call(era: str) -> None:
+    """Guards against odd numbers in the messages of the hosts."""
+
+    async def respond(_: web.BaseRequest) -> web.Response:
+        return web.json_response(
+            {'items': [], 'end': 0}, headers={ERA_HEADER: era}
+        )
+
+    store = StandInStore()
+    store.handle = respond  # type: ignore[method-assign]
+
+    async def test(client: StoreClient) -> None:
+        outcome = await client.read(CONFIGURATION_STREAM, -1)
+        assert outcome == Err(SourceFailure.unreadable)
+
+    run_with_store(store, test)
--- a/tests/replication/hosts.py
+++ b/tests/replication/hosts.py
@@ -42,11 +42,19 @@
     read_count: int = 0
     kept: dict[str, bytes] = field(default_factory=dict)
     kept_writes: int = 0
+    era: int = 0
+    # The host of each registration, in order.
+    registrations: list[str] = field(default_factory=list)
 
     def write(self, key: str, content: bytes | None) -> None:
         """Append a record; content None removes the key."""
         self.records.append(StreamEntry(key, len(self.records), content))
 
+    def restore(self, end: int) -> None:
+        """Come back from a copy that ends at an offset."""
+        del self.records[end:]
+        self.era += 1
+
 
 class FakeStoreClient(RecordSource):
     """The store client of one host."""
@@ -57,7 +65,7 @@
         self._host = host
 
     async def read(
-        self, stream: str, position: int
+        self, stream: str, position: int, era: int = 0
     ) -> Result[StreamUpdate, SourceFailure]:
         """Read the stream, with a delay of 4 ms for the round trip."""
         self._store.read_count += 1
@@ -72,17 +80,28 @@
         ):
             return Err(SourceFailure.unavailable)
         end = len(self._store.records)
+        if position < 0 or era != self._store.era:
+            position = -1
         is_whole = position < 0
         entries = tuple(self._store.records[max(0, position) :])
         if is_whole:
             newest = {entry.key: entry for entry in entries}
             entries = tuple(newest.values())
         return Ok(
-            StreamUpdate(stream, max(0, position), end, 4, entries, is_whole)
+            StreamUpdate(
+                stream,
+                max(0, position),
+                end,
+                4,
+                entries,
+                is_whole,
+                self._store.era,
+            )  # fmt: skip
         )
 
     async def register(self, host: str, peer_address: str) -> bool:
         """Accept the host; the hosts know each other in these tests."""
+        self._store.registrations.append(host)
         return True
 
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
@@ -207,6 +226,7 @@
                 host.first_seen_at.setdefault(entry.key, self.loop.time())
 
         exchange.on_change = record_changes
+        exchange.on_restore = lambda _: reader.note_restore()
         return host
 
 
--- a/tests/replication/test_lag.py
+++ b/tests/replication/test_lag.py
@@ -35,7 +35,7 @@
     state = make_state(5)
     with capture_logs() as lines:
         for now, position in peer_positions:
-            lags.note_peer(state, position, 'h1', now)
+            lags.note_peer(state, (0, position), 'h1', now)
     assert lags.seconds('s', 10.0) == seconds
     assert [line['event'] for line in lines] == events
 
@@ -43,8 +43,8 @@
 def test_lag_ends_when_the_stream_has_caught_up() -> None:
     """A merge that falls short of the peer does not end the lag."""
     lags = StreamLags()
-    lags.note_peer(make_state(5), 9, 'h1', 1.0)
-    lags.note_peer(make_state(5), 9, 'h1', 3.0)
+    lags.note_peer(make_state(5), (0, 9), 'h1', 1.0)
+    lags.note_peer(make_state(5), (0, 9), 'h1', 3.0)
     with capture_logs() as lines:
         lags.note_merge(make_state(8), 'h2', 4.0)
         assert lags.seconds('s', 4.0) == 3.0
