Judge each attempt of a request in the soak by what its caller was told

The oracle knew a request by its id alone. A caller may use its id again after an answer that promises "not run"; then a run of the later attempt looked like a broken promise of the first one, and a refused attempt that ran could hide behind a later one.

Attempts with one id are numbered, and servers say which one they got. An attempt that was told "not run" (408, 421, 429, 503) must never run, though a later one may; all attempts with one id together run at most once; an attempt is a repeat of hosts only if that attempt was sent before (the users' rule of the budget).

A new invariant, requests_are_answered_in_calm: a request that a host passed on does not end without a whole answer (LOST), unless its host had a fault, or its server or link broke off. Callers that give up are judged by the time, as before.

Two records of test_oracle.py that counted as valid had requests that were passed on and cut without a cause, which the new invariant reports: the cut stream is now one that its server cut, and the revoked key's answer, which is judged by its status, is whole.

--- a/tests/soak/_bounds.py
+++ b/tests/soak/_bounds.py
@@ -50,7 +50,7 @@
     if any(
         arrival.spoilt
         for arrival in record.arrivals
-        if arrival.request == outcome.request
+        if arrival.attempt == outcome.attempt
     ):
         return True
     return any(
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -20,6 +20,7 @@
     AT_MOST_ONCE_KINDS,
     EVENT_COUNT,
     STREAM_KINDS,
+    Attempt,
     Record,
 )
 from tests.soak._server_oracle import SERVER_INVARIANTS
@@ -45,33 +46,57 @@
 
 
 def at_most_once(record: Record) -> Iterator[str]:
-    """An at-most-once request is executed at most once."""
+    """An at-most-once request is executed once in all its attempts.
+
+    Its caller uses the id again only after a promise that it has not run, so
+    an attempt that was refused and ran counts like one that ran twice.
+    """
     execution_counts = Counter(
         arrival.request for arrival in record.arrivals if arrival.ran
     )
-    for outcome in record.outcomes:
-        if (
-            outcome.kind in AT_MOST_ONCE_KINDS
-            and execution_counts[outcome.request] > 1
-        ):
-            yield (
-                f'{outcome.request} ran '
-                f'{execution_counts[outcome.request]} times'
-            )
+    requests = {
+        outcome.request: None
+        for outcome in record.outcomes
+        if outcome.kind in AT_MOST_ONCE_KINDS
+    }
+    for request in requests:
+        if execution_counts[request] > 1:
+            yield f'{request} ran {execution_counts[request]} times'
 
 
 def unexecuted_requests_never_run(record: Record) -> Iterator[str]:
-    """A request answered with a not-executed status never runs."""
-    executed = {arrival.request for arrival in record.arrivals if arrival.ran}
+    """An attempt answered with a not-executed status never runs.
+
+    A later attempt with the same id may run.
+    """
+    executed = {arrival.attempt for arrival in record.arrivals if arrival.ran}
     for outcome in record.outcomes:
         was_refused = (
             outcome.status in NOT_EXECUTED_STATUSES
             and outcome.kind in AT_MOST_ONCE_KINDS
         )
-        if was_refused and outcome.request in executed:
+        if was_refused and outcome.attempt in executed:
             yield f'{outcome.request} got {outcome.status} and ran'
 
 
+def requests_are_answered_in_calm(record: Record) -> Iterator[str]:
+    """A request that a host passed on does not end without an answer.
+
+    Calm means no fault of its host, and no server or link that broke off.
+    Callers that gave up are judged by ``responses_arrive_in_time``.
+    """
+    passed_on = {arrival.attempt for arrival in record.arrivals}
+    for outcome in record.outcomes:
+        if (
+            outcome.is_cut
+            and not outcome.gave_up
+            and outcome.attempt in passed_on
+            and not host_had_fault(record, outcome)
+            and not may_be_cut_by_server(record, outcome)
+        ):
+            yield f'{outcome.request} got no whole answer from {outcome.host}'
+
+
 def responses_are_complete(record: Record) -> Iterator[str]:
     """A body is the one that the signing server sent for the request."""
     for outcome in record.outcomes:
@@ -144,14 +169,17 @@
 
 
 def retries_stay_in_budget(record: Record) -> Iterator[str]:
-    """Retries by all hosts stay within the configured retry budget."""
+    """Retries by all hosts stay within the configured retry budget.
+
+    Another attempt of a caller is none of a host (the users' rule).
+    """
     arrivals_by_service: dict[str, list[tuple[float, bool]]] = defaultdict(list)
-    seen: set[str] = set()
+    seen: set[Attempt] = set()
     for arrival in sorted(record.arrivals, key=lambda item: item.at):
         arrivals_by_service[arrival.service].append(
-            (arrival.at, arrival.request in seen)
+            (arrival.at, arrival.attempt in seen)
         )
-        seen.add(arrival.request)
+        seen.add(arrival.attempt)
     for service, arrivals in arrivals_by_service.items():
         for at, _ in arrivals[::10]:
             window = [
@@ -210,6 +238,7 @@
 INVARIANTS: tuple[Callable[[Record], Iterator[str]], ...] = (
     at_most_once,
     unexecuted_requests_never_run,
+    requests_are_answered_in_calm,
     responses_are_complete,
     streams_are_complete,
     teams_match_keys,
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 # Kinds of requests that callers send; stream events are numbered from 1.
 ORDER = 'order'
@@ -13,6 +14,9 @@
 AT_MOST_ONCE_KINDS = frozenset((ORDER, DRAFT))
 STREAM_KINDS = frozenset((DRAFT, CHECK))
 EVENT_COUNT = 8
+# The id of a request, and the number of the attempt, from 1: a caller may use
+# an id once more after an answer that promises that the request has not run.
+Attempt: TypeAlias = tuple[str, int]
 
 
 @dataclass
@@ -34,15 +38,23 @@
     boot: int = 0
     # Parts of the prompt that other requests share.
     parts: tuple[str, ...] = ()
+    number: int = 1
+
+    @property
+    def attempt(self) -> Attempt:
+        """The attempt that the server got, as its caller numbered it."""
+        return self.request, self.number
 
 
 @dataclass
 class Outcome:
-    """What a caller received for one request; times in seconds.
+    """What a caller received for one attempt; times in seconds.
 
     ``status`` is None without a response, ``patience`` is the timeout, and
     ``was_sent`` is set once the response headers arrived, at ``answered_at``.
-    ``route`` names an added route, and is empty for those of the start.
+    ``route`` names an added route, and is empty for those of the start;
+    ``number`` counts the attempts with one id. ``gave_up`` means that the
+    caller closed the connection.
     """
 
     request: str
@@ -61,6 +73,14 @@
     was_sent: bool = False
     answered_at: float = 0.0
     route: str = ''
+    number: int = 1
+    prompt: str = ''
+    gave_up: bool = False
+
+    @property
+    def attempt(self) -> Attempt:
+        """The attempt that the outcome is of."""
+        return self.request, self.number
 
 
 @dataclass
@@ -89,6 +109,26 @@
     request: str
     at: float
     pause_seconds: float | None = None
+    number: int = 1
+
+    @property
+    def attempt(self) -> Attempt:
+        """The attempt that was answered."""
+        return self.request, self.number
+
+
+@dataclass
+class Copy:
+    """A refusal that a server wrote once more, at a monotonic time in s.
+
+    ``request`` was refused; ``under_way`` is the request that the server had
+    on the connection as it wrote the copy, if any.
+    """
+
+    server: str
+    request: str
+    under_way: str | None
+    at: float
 
 
 @dataclass
@@ -131,6 +171,7 @@
     # When each server announced that it is draining.
     drained: dict[str, float] = field(default_factory=dict)
     notices: list[Notice] = field(default_factory=list)
+    copies: list[Copy] = field(default_factory=list)
     # Faults of the store for all hosts, and hosts that it turned away.
     store_faults: list[Span] = field(default_factory=list)
     rejections: dict[str, list[Span]] = field(default_factory=dict)
@@ -148,6 +189,10 @@
     started_at: float = 0.0
     ended_at: float = 0.0
 
+    def outcomes_by_attempt(self) -> dict[Attempt, Outcome]:
+        """Return the outcome of each attempt."""
+        return {outcome.attempt: outcome for outcome in self.outcomes}
+
     def limit_of(self, server: str, now: float) -> float | None:
         """Return the calls a second that a server names now, if any."""
         return next(
--- a/tests/soak/_server_oracle.py
+++ b/tests/soak/_server_oracle.py
@@ -35,12 +35,12 @@
 
 def leaving_servers_get_no_new_requests(record: Record) -> Iterator[str]:
     """A draining server gets no requests after ``DRAIN_SECONDS``."""
-    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    outcomes = record.outcomes_by_attempt()
     for arrival in record.arrivals:
         drained_at = record.drained.get(arrival.server)
         if drained_at is None:
             continue
-        outcome = outcomes.get(arrival.request)
+        outcome = outcomes.get(arrival.attempt)
         host = '' if outcome is None else outcome.host
         limit = (
             drained_at
@@ -58,17 +58,17 @@
 
 def leaving_notices_are_kept(record: Record) -> Iterator[str]:
     """A host that passed on a notice of leaving sends nothing new there."""
-    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    outcomes = record.outcomes_by_attempt()
     passed_on: dict[tuple[str, int, int], float] = {}
     for notice in record.notices:
-        outcome = outcomes[notice.request]
+        outcome = outcomes[notice.attempt]
         was_passed_on = outcome.was_sent and outcome.signature == notice.server
         if notice.pause_seconds is None and was_passed_on:
             sender = (notice.server, notice.boot, outcome.pid)
             first_at = passed_on.get(sender, outcome.answered_at)
             passed_on[sender] = min(first_at, outcome.answered_at)
     for arrival in record.arrivals if passed_on else ():
-        outcome = outcomes[arrival.request]
+        outcome = outcomes[arrival.attempt]
         since = passed_on.get((arrival.server, arrival.boot, outcome.pid))
         if (
             since is not None
@@ -85,15 +85,15 @@
 
 def pauses_are_kept(record: Record) -> Iterator[str]:
     """A server that asked a host for a pause gets few of its requests."""
-    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    outcomes = record.outcomes_by_attempt()
     arrivals: dict[tuple[str, int, int], list[Arrival]] = defaultdict(list)
     for arrival in record.arrivals if record.notices else ():
-        sender = (arrival.server, arrival.boot, outcomes[arrival.request].pid)
+        sender = (arrival.server, arrival.boot, outcomes[arrival.attempt].pid)
         arrivals[sender].append(arrival)
     for notice in record.notices:
         if notice.pause_seconds is None:
             continue
-        outcome = outcomes[notice.request]
+        outcome = outcomes[notice.attempt]
         began = notice.at + PAUSE_SLACK_SECONDS + 2 * record.lag
         ended = notice.at + notice.pause_seconds
         calls = sum(
@@ -112,7 +112,7 @@
 
 def fatal_parts_stop_reaching_servers(record: Record) -> Iterator[str]:
     """A part under which servers end is kept from them after the fifth."""
-    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    outcomes = record.outcomes_by_attempt()
     for part, ends in record.ends_under_part.items():
         if len(ends) < FATAL_PART_ENDS:
             continue
@@ -126,7 +126,7 @@
             for arrival in record.arrivals
             if part in arrival.parts
             and arrival.at > limit
-            and not host_had_fault(record, outcomes[arrival.request])
+            and not host_had_fault(record, outcomes[arrival.attempt])
         ]
         if len(late) > FATAL_PART_ARRIVALS:
             yield f'{len(late)} more requests with {part} reached servers'
@@ -134,7 +134,7 @@
 
 def limits_of_servers_are_kept(record: Record) -> Iterator[str]:
     """All hosts together keep to the limit that a server names."""
-    outcomes = {outcome.request: outcome for outcome in record.outcomes}
+    outcomes = record.outcomes_by_attempt()
     for limit in record.limits:
         known_at = (
             limit.span.began + CONTACT_SECONDS + tolerance_seconds(record)
@@ -144,7 +144,7 @@
             for arrival in record.arrivals
             if arrival.server == limit.server
             and known_at < arrival.at < limit.span.ended
-            and not host_had_fault(record, outcomes[arrival.request])
+            and not host_had_fault(record, outcomes[arrival.attempt])
         ]
         most = max(
             (
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -43,6 +43,54 @@
     )
 
 
+def spoilt(result: Record) -> Record:
+    """Return a record whose servers may have damaged all their answers."""
+    for one in result.arrivals:
+        one.spoilt = True
+    return result
+
+
+def record_of_attempts(
+    statuses: tuple[int | None, ...], runs: tuple[int, ...]
+) -> Record:
+    """Return a record of attempts with one id.
+
+    :param statuses: what the caller got for each, None for a cut.
+    :param runs: the attempts that servers executed; each was also refused.
+    """
+    outcomes = [
+        outcome(
+            number=number, status=status, is_cut=status is None,
+            sent_at=50 + number, ended_at=50.2 + number,
+        )
+        for number, status in enumerate(statuses, start=1)
+    ]  # fmt: skip
+    arrivals = [
+        Arrival(
+            'r', 'book', 's', 50.1 + number, ran, 'team-a', number=number
+        )
+        for ran, numbers in (
+            (False, range(1, len(statuses) + 1)), (True, runs)
+        )
+        for number in numbers
+    ]  # fmt: skip
+    return record(outcomes, arrivals)
+
+
+def record_of_returning_callers() -> Record:
+    """Return a record of many requests that were sent again after refusals."""
+    result = record([], [])
+    for number in range(80):
+        one = record_of_attempts((503, 200), (2,))
+        for item in (*one.outcomes, *one.arrivals):
+            item.request = f'r{number}'
+        one.outcomes[-1].body = expected_body(f'r{number}', 's')
+        result.outcomes += one.outcomes
+        # Each attempt was sent once.
+        result.arrivals += [one.arrivals[0], one.arrivals[-1]]
+    return result
+
+
 def record_of_aborted_request(**changes: object) -> Record:
     """Return a record of a request cut while its host shut down."""
     result = record(
@@ -54,9 +102,7 @@
 
 def record_with_revoked_key(status: int, **changes: object) -> Record:
     """Return a record of a request whose key was revoked at 45 s."""
-    result = record(
-        [outcome(status=status, is_cut=True, **changes)], [arrival()]
-    )
+    result = record([outcome(status=status, **changes)], [arrival()])
     result.revoked['key'] = 45
     return result
 
@@ -148,6 +194,7 @@
     'unexecuted_requests_never_run': lambda: record(
         [outcome(status=503)], [arrival()]
     ),
+    'requests_are_answered_in_calm': lambda: record_of_cut_request(),
     'responses_are_complete': lambda: record(
         [outcome(body=b'half')], [arrival()]
     ),
@@ -202,6 +249,58 @@
     assert invariant in violated
 
 
+# What callers were told of the attempts with one id, which of them ran, and
+# which invariants that violates.
+ATTEMPTS: dict[
+    str, tuple[tuple[int | None, ...], tuple[int, ...], tuple[str, ...]]
+] = {
+    'none ran': ((503, 503), (), ()),
+    'the later one ran': ((503, 200), (2,), ()),
+    'the later one may have run': ((503, 502), (2,), ()),
+    'a refused one ran': (
+        (503, 502), (1,), ('unexecuted_requests_never_run',),
+    ),
+    'the later one was refused and ran': (
+        (421, 503), (2,), ('unexecuted_requests_never_run',),
+    ),
+    'both ran': (
+        (429, 200), (1, 2), ('at_most_once', 'unexecuted_requests_never_run'),
+    ),
+    'the later one ran twice': ((503, 200), (2, 2), ('at_most_once',)),
+    'the later one was cut': (
+        (503, None), (2,), ('requests_are_answered_in_calm',),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize('case', ATTEMPTS)
+def test_each_attempt_is_judged_by_what_its_caller_was_told(case: str) -> None:
+    """An id that is used again hides no run of the attempt before."""
+    statuses, runs, violated = ATTEMPTS[case]
+    violations = find_violations(record_of_attempts(statuses, runs))
+    assert tuple(line.partition(':')[0] for line in violations) == violated
+
+
+def test_caller_that_gives_up_is_judged_by_the_time() -> None:
+    """A caller that left got no answer, but its host closed nothing."""
+    result = record(
+        [outcome(is_cut=True, gave_up=True, status=None, ended_at=54)],
+        [arrival()],
+    )
+    violations = find_violations(result)
+    assert [line.partition(':')[0] for line in violations] == [
+        'responses_arrive_in_time'
+    ]
+
+
+def record_of_cut_request(**faults: object) -> Record:
+    """Return a record of a request that got no answer, with some faults."""
+    result = record([outcome(is_cut=True, status=None)], [arrival()])
+    for name, value in faults.items():
+        setattr(result, name, value)
+    return result
+
+
 def record_of_paused_host() -> Record:
     """Return a record of a late response by a host that was paused."""
     result = record([outcome(ended_at=56)], [arrival()])
@@ -221,9 +320,20 @@
     'a stream': lambda: record(
         [outcome('draft', events=list(range(1, EVENT_COUNT + 1)))], [arrival()]
     ),
-    'a cut stream': lambda: record(
-        [outcome('draft', events=[1, 2], is_cut=True)], [arrival()]
+    'a stream that its server cut': lambda: spoilt(
+        record([outcome('draft', events=[1, 2], is_cut=True)], [arrival()])
+    ),
+    'a request that was not passed on': lambda: record_of_cut_request(
+        arrivals=[]
+    ),
+    'a request that a killed host cut': lambda: record_of_cut_request(
+        host_faults={'h': [Span(50.1, 52)]}
+    ),
+    'a request cut over a broken link': lambda: record_of_cut_request(
+        link_faults=[Span(49, 51, 's')]
     ),
+    'a request that its server cut': lambda: spoilt(record_of_cut_request()),
+    'attempts that are no repeats of hosts': record_of_returning_callers,
     'a refusal that did not run': lambda: record([outcome(status=503)], []),
     'a revoked key': lambda: record_with_revoked_key(401),
     'a key that was just revoked': lambda: record_with_revoked_key(
