--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from tests.soak._bounds import NOT_EXECUTED_STATUSES
 from tests.soak._configuration import SoakConfiguration
 from tests.soak._hosts import PORTS, SoakHost
 from tests.soak._record import KINDS, STREAM_KINDS, Outcome, Record
@@ -21,6 +22,12 @@
 # Share of the requests on routes that were added, once there are any.
 ADDED_ROUTE_SHARE = 0.2
 _PROBED_CHANGES = 20
+# One caller in so many uses its id again after a promise of "not run".
+RETURNING_CALLER_INTERVAL = 2
+_RETURN_SECONDS = 0.1
+_MIN_PATIENCE_SECONDS = 0.2
+# Callers wait for an answer this much longer than their timeout.
+_GIVE_UP_SECONDS = 2
 
 
 class SoakCaller:
@@ -80,20 +87,29 @@
         kind: str,
         key: str,
         route: str,
-    ) -> None:
+    ) -> Outcome:
         self._request_count += 1
         outcome = Outcome(
             f'{self._name}-{self._request_count}', kind, key,
             self._hosts[ip].name, self._hosts[ip].pid, time.monotonic(),
             patience=TIMEOUTS_SECONDS[kind], route=route,
+            prompt=self._prompt() if kind in STREAM_KINDS else '',
         )  # fmt: skip
+        await self._attempt(session, ip, outcome)
+        return outcome
+
+    async def _attempt(
+        self, session: aiohttp.ClientSession, ip: str, outcome: Outcome
+    ) -> None:
+        """Send a request, and record what comes of it."""
         self._record.outcomes.append(outcome)
         try:
-            async with asyncio.timeout(TIMEOUTS_SECONDS[kind] + 2):
+            async with asyncio.timeout(outcome.patience + _GIVE_UP_SECONDS):
                 await self._send(session, ip, outcome)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             # The oracle judges the cut; resolve the hosts again.
             outcome.is_cut = True
+            outcome.gave_up = isinstance(error, TimeoutError)
             self._resolution_expires_at = 0
         outcome.ended_at = time.monotonic()
 
@@ -107,10 +123,11 @@
             'Burdockledge-Request-Id': outcome.request,
             'Burdockledge-Deadline-Ms': str(int(outcome.patience * 1000)),
             'Burdockledge-Tenant': 'forged',
+            'Soak-Attempt': str(outcome.number),
             'Authorization': f'Token {outcome.key}',
         }
         if outcome.kind in STREAM_KINDS:
-            headers['Burdockledge-Prompt-Prefix'] = self._prompt()
+            headers['Burdockledge-Prompt-Prefix'] = outcome.prompt
         trace = {'outcome': outcome}
         async with session.post(
             url, headers=headers, data=b'x' * 300, trace_request_ctx=trace
@@ -157,6 +174,34 @@
                 )
 
 
+class SoakReturningCaller(SoakCaller):
+    """Uses a request id once more after an answer that promises "not run"."""
+
+    async def _request(
+        self,
+        session: aiohttp.ClientSession,
+        ip: str,
+        kind: str,
+        key: str,
+        route: str,
+    ) -> Outcome:
+        first = await super()._request(session, ip, kind, key, route)
+        if first.is_cut or first.status not in NOT_EXECUTED_STATUSES:
+            return first
+        await asyncio.sleep(self._random.uniform(0, _RETURN_SECONDS))
+        sent_at = time.monotonic()
+        seconds_left = first.sent_at + first.patience - sent_at
+        if seconds_left < _MIN_PATIENCE_SECONDS:
+            return first
+        second = Outcome(
+            first.request, kind, key, first.host, self._hosts[ip].pid, sent_at,
+            patience=seconds_left, route=route, number=first.number + 1,
+            prompt=first.prompt,
+        )  # fmt: skip
+        await self._attempt(session, ip, second)
+        return second
+
+
 class SoakProber(SoakCaller):
     """Sends requests that need what changed lately, to every host in turn."""
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak._access_faults import ACCESS_FAULTS
+from tests.soak._copy_faults import COPY_FAULTS
 from tests.soak._fault import Fault, Injector
 from tests.soak._notice_faults import NOTICE_FAULTS
 from tests.soak._proxy import LINK_FAULTS, PASS_THROUGH
@@ -20,8 +21,9 @@
 
     from tests.soak._run import SoakRun
 
-# Share of the seeds that have each of these faults.
+# Shares of the seeds that have each of these faults.
 ACCESS_FAULT_SHARE = 0.7
+COPY_FAULT_SHARE = 0.5
 
 
 def draw_schedule(
@@ -51,16 +53,24 @@
                 random.getrandbits(32),
             )
         )
-    random = Random(f'{seed} access and notices')
-    for kind in (*ACCESS_FAULTS, *NOTICE_FAULTS):
-        fault = Fault(
-            random.uniform(1, 4),
-            kind,
-            seconds - random.uniform(5, 7),
-            random.getrandbits(32),
-        )
-        if random.random() < ACCESS_FAULT_SHARE or kind in kinds:
-            faults.append(fault)
+    for name, injectors, share in (
+        (
+            'access and notices',
+            ACCESS_FAULTS | NOTICE_FAULTS,
+            ACCESS_FAULT_SHARE,
+        ),
+        ('copies', COPY_FAULTS, COPY_FAULT_SHARE),
+    ):
+        random = Random(f'{seed} {name}')
+        for kind in injectors:
+            fault = Fault(
+                random.uniform(1, 4),
+                kind,
+                seconds - random.uniform(5, 7),
+                random.getrandbits(32),
+            )
+            if random.random() < share or kind in kinds:
+                faults.append(fault)
     return sorted(
         (fault for fault in faults if not kinds or fault.kind in kinds),
         key=lambda fault: fault.at,
@@ -206,5 +216,5 @@
     injector.__name__: injector for injector in (set_fatal_part, limit_server)
 }
 INJECTORS: dict[str, Injector] = (
-    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS
+    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS | COPY_FAULTS
 )
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -13,7 +13,12 @@
 from pathlib import Path
 from random import Random
 
-from tests.soak._callers import SoakCaller, SoakProber
+from tests.soak._callers import (
+    RETURNING_CALLER_INTERVAL,
+    SoakCaller,
+    SoakProber,
+    SoakReturningCaller,
+)
 from tests.soak._configuration import SERVICES, SoakConfiguration
 from tests.soak._faults import INJECTORS, Fault, draw_schedule
 from tests.soak._hosts import SoakHost
@@ -195,13 +200,13 @@
     def start_callers(self, count: int) -> list[asyncio.Task[None]]:
         """Start callers and a prober, and return their tasks."""
         self.callers = [
-            SoakCaller(
+            _caller_type(number)(
                 number,
                 self.hosts,
                 self.configuration,
                 self.record,
                 Random(number),
-            )  # fmt: skip
+            )
             for number in range(count)
         ]
         self._prober = SoakProber(
@@ -279,6 +284,11 @@
         self._background_tasks.add(task)
 
 
+def _caller_type(number: int) -> type[SoakCaller]:
+    is_returning = number % RETURNING_CALLER_INTERVAL == 0
+    return SoakReturningCaller if is_returning else SoakCaller
+
+
 def run_soak(plan: Plan, artifacts_dir: Path | None = None) -> list[str]:
     """Run a plan and return its violations.
 
--- a/tests/soak/_servers.py
+++ b/tests/soak/_servers.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from tests.soak._copies import MISDIRECTED_REQUEST, RefusalCopier
 from tests.soak._oracle import expected_body
 from tests.soak._proxy import Proxy
 from tests.soak._record import (
@@ -37,6 +38,7 @@
 _WORK_SECONDS = (0.005, 0.12)
 _EVENT_SECONDS = 0.05
 _HANG_SECONDS = 20
+_FORMER_LIFE_MS = 60_000
 
 
 class SoakServer:
@@ -59,7 +61,10 @@
         self._seq = 0
         self._state = 'ready'
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._unanswered: dict[int, Arrival] = {}
+        self._former_names: set[str] = set()
         self.fault: str | None = None
+        self.copier = RefusalCopier(name, record, Random(f'{name} copies'))
         # Whether it says in its answers that it leaves.
         self.is_leaving = False
         # It refuses requests with one of these as Retry-After, if there are
@@ -99,6 +104,8 @@
                     arrival.spoilt = True
         else:
             self._store.write_server(self.name, {})
+        for arrival in self._unanswered.values():
+            arrival.spoilt = True
         self.proxy.close()
         await self._runner.cleanup()
 
@@ -109,6 +116,23 @@
         self._store.write_server(self.name, {})
         self._record.drained.setdefault(self.name, time.monotonic())
 
+    def write_former_entry(self) -> str:
+        """Register what had this address before, and return its name.
+
+        Requests for it are refused with 421.
+        """
+        name = f'former-{self.name}'
+        self._former_names.add(name)
+        self._store.write_server(
+            name,
+            {
+                'backend': self.service, 'address': self._address,
+                'zone': self._zone, 'slots': 32, 'state': 'ready',
+                'seq': 1, 'born': self._born_ms - _FORMER_LIFE_MS,
+            },
+        )  # fmt: skip
+        return name
+
     async def _send_heartbeats(self) -> None:
         while True:
             self._register()
@@ -126,17 +150,43 @@
         )  # fmt: skip
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        request_id = request.headers['Burdockledge-Request-Id']
         arrival = Arrival(
-            request_id, self.service, self.name, time.monotonic(), ran=True,
+            request.headers['Burdockledge-Request-Id'], self.service,
+            self._addressed_name(request), time.monotonic(), ran=True,
             team=request.headers.get('Burdockledge-Tenant'),
             parts=_shared_parts(request), boot=self._born_ms,
+            number=int(request.headers['Soak-Attempt']),
         )  # fmt: skip
         self._record.arrivals.append(arrival)
+        self._unanswered[id(arrival)] = arrival
+        try:
+            return await self._answer(request, arrival)
+        finally:
+            self._unanswered.pop(id(arrival))
+
+    def _addressed_name(self, request: web.BaseRequest) -> str:
+        expected = request.headers.get('Burdockledge-Expect-Instance', '')
+        return expected if expected in self._former_names else self.name
+
+    async def _answer(
+        self, request: web.BaseRequest, arrival: Arrival
+    ) -> web.StreamResponse:
+        request_id = arrival.request
         await request.read()
+        await self.copier.write_before_answer(request, request_id)
+        if arrival.server != self.name:
+            arrival.ran = False
+            return await self.copier.refuse(
+                request, MISDIRECTED_REQUEST, _id_header(arrival)
+            )
         if self.pauses:
             arrival.ran = False
-            return self._ask_for_pause(request_id)
+            return self._ask_for_pause(arrival)
+        if self.copier.draw_refusal():
+            arrival.ran = False
+            return await self.copier.refuse(
+                request, self.copier.draw_status(), self._plain_headers(arrival)
+            )
         is_affected = self._random.random() < _FAULT_SHARE
         fault = self.fault if is_affected else None
         if fault == SHED:
@@ -145,7 +195,7 @@
                 status=503,
                 headers={
                     'Burdockledge-Not-Executed': '1',
-                    **self._plain_headers(request_id),
+                    **self._plain_headers(arrival),
                 },
             )
         arrival.spoilt = fault is not None
@@ -153,24 +203,29 @@
             await asyncio.sleep(_HANG_SECONDS)
         if fault == ERRORS:
             return web.Response(
-                status=500, headers=self._plain_headers(request_id)
+                status=500, headers=self._plain_headers(arrival)
             )
         kind = request.path.split('/')[1].partition('-')[0]
         if kind in STREAM_KINDS:
-            response = self._create_stream_response(request_id)
+            response = self._create_stream_response(arrival)
             if self._record.fatal_part in arrival.parts:
                 await self._end_under(arrival, request, response)
             with contextlib.suppress(ConnectionError):
                 # The caller recorded what it received before disconnecting.
+                await self.copier.write_with_answer(request, request_id)
                 await self._stream(request, response, request_id, fault)
             return response
         await asyncio.sleep(self._random.uniform(*_WORK_SECONDS))
         if fault == CUT:
             _abort(request)
-        return web.Response(
+        answer = web.Response(
             body=expected_body(request_id, self.name),
-            headers=self._headers(request_id),
+            headers=self._headers(arrival),
         )
+        await self.copier.write_with_answer(request, request_id)
+        await answer.prepare(request)
+        await answer.write_eof()
+        return answer
 
     async def _end_under(
         self,
@@ -190,8 +245,8 @@
             self.on_end = None
         await asyncio.sleep(_HANG_SECONDS)
 
-    def _create_stream_response(self, request_id: str) -> web.StreamResponse:
-        response = web.StreamResponse(headers=self._headers(request_id))
+    def _create_stream_response(self, arrival: Arrival) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._headers(arrival))
         response.content_type = 'text/event-stream'
         return response
 
@@ -214,29 +269,29 @@
             await response.write(event[half:])
         await response.write_eof()
 
-    def _ask_for_pause(self, request_id: str) -> web.Response:
+    def _ask_for_pause(self, arrival: Arrival) -> web.Response:
         text, seconds = self._random.choice(self.pauses)
         if seconds is not None:
-            self._note(request_id, seconds)
+            self._note(arrival, seconds)
         return web.Response(
             status=503,
             headers={
                 'Burdockledge-Not-Executed': '1',
                 'Retry-After': text,
-                **self._plain_headers(request_id),
+                **self._plain_headers(arrival),
             },
         )
 
-    def _note(self, request_id: str, pause_seconds: float | None) -> None:
+    def _note(self, arrival: Arrival, pause_seconds: float | None) -> None:
         self._record.notices.append(
             Notice(
-                self.name, self._born_ms, request_id, time.monotonic(),
-                pause_seconds,
+                self.name, self._born_ms, arrival.request, time.monotonic(),
+                pause_seconds, arrival.number,
             )
         )  # fmt: skip
 
-    def _headers(self, request_id: str) -> dict[str, str]:
-        headers = self._plain_headers(request_id)
+    def _headers(self, arrival: Arrival) -> dict[str, str]:
+        headers = self._plain_headers(arrival)
         headers['Burdockledge-Response-Seal'] = self.name
         # A server that starts again under its name has the same capacity.
         limit = self._record.limit_of(self.name, time.monotonic())
@@ -244,15 +299,19 @@
             headers['Server-Limit'] = f'{limit:g}'
         return headers
 
-    def _plain_headers(self, request_id: str) -> dict[str, str]:
+    def _plain_headers(self, arrival: Arrival) -> dict[str, str]:
         """Return the headers of any answer."""
-        headers = {'Burdockledge-Request-Id': request_id}
+        headers = _id_header(arrival)
         if self.is_leaving:
-            self._note(request_id, None)
+            self._note(arrival, None)
             headers['Server-Leaving'] = '1'
         return headers
 
 
+def _id_header(arrival: Arrival) -> dict[str, str]:
+    return {'Burdockledge-Request-Id': arrival.request}
+
+
 def _shared_parts(request: web.BaseRequest) -> tuple[str, ...]:
     parts = request.headers.get('Burdockledge-Prompt-Prefix', '').split(',')
     return tuple(part.partition(':')[0] for part in parts[:-1])
