--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from burdockledge.host import RelayHost
+from burdockledge.http_client import BoundedConnection
 from burdockledge.platform import PlatformDecoder, _calls, _servers, _store
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
@@ -210,6 +211,28 @@
     ServerNotices.note_pause = lambda *_: False
 
 
+def believe_copied_refusals() -> None:
+    """Send a request again on a connection that has carried its id."""
+
+    def begin_request(self: Any, request_id: str | None) -> bool:
+        self.request_id = request_id
+        return True
+
+    BoundedConnection.begin_request = begin_request
+
+
+def believe_refusals_of_others() -> None:
+    """Take a refusal with any id for the answer to a request."""
+    original = _servers._ServerConnection.is_answer
+
+    def is_answer(self: Any, message: Any) -> bool:
+        return _servers.names.NOT_RUN in message.headers or original(
+            self, message
+        )
+
+    _servers._ServerConnection.is_answer = is_answer
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -231,5 +254,7 @@
         return_to_older_versions,
         forget_leaving_notices,
         forget_pauses,
+        believe_copied_refusals,
+        believe_refusals_of_others,
     )
 }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,15 @@
     'outdated configuration': Plan(
         seed=4, seconds=32, hosts=3, kinds=('reject_hosts_around_restarts',)
     ),
+    # A copy of a refusal answered for the same request on its connection, which
+    # ran twice, or ran though its caller was told that it had not.
+    'copied refusals': Plan(
+        seed=1,
+        seconds=10,
+        hosts=3,
+        callers=6,
+        kinds=('copy_refusals', 'leave_former_entries'),
+    ),
 }
 SHORT_PLAN = Plan(seed=7, seconds=10, hosts=3, callers=6)
 
