--- a/tests/soak/_copies.py
+++ b/tests/soak/_copies.py
@@ -40,6 +40,7 @@
     request: str
     content: bytes
     moment: str
+    count: int
     is_split: bool
     waits_for_request: bool
 
@@ -150,8 +151,11 @@
                 return
             transport.write(part)
         self._record.copies.append(
-            Copy(self._server, copy.request, under_way, time.monotonic())
-        )
+            Copy(
+                self._server, copy.request, under_way, time.monotonic(),
+                copy.moment, copy.count,
+            )
+        )  # fmt: skip
 
     async def _pause(self) -> None:
         await asyncio.sleep(self._random.uniform(*_GAP_SECONDS))
@@ -163,6 +167,7 @@
             request_id,
             content * count,
             moment,
+            count,
             is_split=self._random.random() < _SPLIT_SHARE,
             waits_for_request=self._random.random() < _WAITING_SHARE,
         )
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -122,13 +122,16 @@
     """A refusal that a server wrote once more, at a monotonic time in s.
 
     ``request`` was refused; ``under_way`` is the request that the server had
-    on the connection as it wrote the copy, if any.
+    on the connection as it wrote the copy, if any. ``moment`` is one of
+    ``MOMENTS``, and ``count`` says how often it was written.
     """
 
     server: str
     request: str
     under_way: str | None
     at: float
+    moment: str
+    count: int
 
 
 @dataclass
