--- a/tests/soak/_copies.py
+++ b/tests/soak/_copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from asyncio import BaseTransport
 from dataclasses import dataclass
@@ -84,8 +85,7 @@
         if status != MISDIRECTED_REQUEST:
             headers = {'Burdockledge-Not-Executed': '1', **headers}
         response = web.Response(status=status, headers=headers, body=_BODY)
-        await response.prepare(request)
-        await response.write_eof()
+        await write_whole(request, response)
         transport = request.transport
         if transport is None or self._random.random() > _COPIED_SHARE:
             return response
@@ -173,6 +173,15 @@
         )
 
 
+async def write_whole(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Write an answer now, unless its caller left."""
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(request)
+        await response.write_eof()
+
+
 def _response_bytes(status: int, reason: str, headers: dict[str, str]) -> bytes:
     lines = [f'HTTP/1.1 {status} {reason}']
     lines += [f'{name}: {text}' for name, text in headers.items()]
--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -233,6 +233,19 @@
     _servers._ServerConnection.is_answer = is_answer
 
 
+def abort_callers() -> None:
+    """Abort one caller in twenty instead of passing on an answer."""
+    original = _forwarder.Forwarder._relay_body
+
+    async def relay_body(self: Any, served: Any, *answer: Any) -> Any:
+        if hash(served.call.request_id) % 20 == 0:
+            served.caller.abort()
+            return 0, 'aborted'
+        return await original(self, served, *answer)
+
+    _forwarder.Forwarder._relay_body = relay_body
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -256,5 +269,6 @@
         forget_pauses,
         believe_copied_refusals,
         believe_refusals_of_others,
+        abort_callers,
     )
 }
--- a/tests/soak/_servers.py
+++ b/tests/soak/_servers.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from tests.soak._copies import MISDIRECTED_REQUEST, RefusalCopier
+from tests.soak._copies import MISDIRECTED_REQUEST, RefusalCopier, write_whole
 from tests.soak._oracle import expected_body
 from tests.soak._proxy import Proxy
 from tests.soak._record import (
@@ -223,8 +223,7 @@
             headers=self._headers(arrival),
         )
         await self.copier.write_with_answer(request, request_id)
-        await answer.prepare(request)
-        await answer.write_eof()
+        await write_whole(request, answer)
         return answer
 
     async def _end_under(
