Read on behind a late copy whose body is long or has no end

Callers saw 504 at their time limit (502 after the head timeout of idempotent calls) though the server had answered: a late copy of another answer came first on the connection, and its body was never read. Over 128 KiB of unread bytes stop the reading of the socket, so the right answer behind it never came. A copy whose body ends only with its connection held the request up in the same way, as nothing can follow it.

The bodies of skipped answers are read away, 8 MiB a request at most; a copy without a length or chunks fails the request at once (502, or sent again where the route allows).

--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -32,6 +32,8 @@
 _PARSE_BYTES: Final = 8 * 1024
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
+# What the bodies of such copies may have in all.
+_MAX_SKIPPED_BYTES: Final = 8 * 1024 * 1024
 # Heads, chunk sizes and trailers between two parts of a body.
 _MAX_FRAMING_BYTES: Final = 128 * 1024
 _VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
@@ -50,6 +52,7 @@
         self._heads_left = 0
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._skipped_bytes = 0
         # Named in log lines.
         self.request_id: str | None = None
 
@@ -65,6 +68,7 @@
         self._heads_left = _MAX_HEADS
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._skipped_bytes = 0
         super().set_response_params(**params)
 
     async def read(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -75,6 +79,7 @@
 
         :raises HttpProcessingError: if too many of them come before the final
             one, or bytes that are no response of the protocol.
+        :raises aiohttp.ClientPayloadError: if one of them ends early.
         """
         while True:
             message, payload = await super().read()
@@ -87,6 +92,7 @@
                 return message, payload
             if self.is_answer(message):
                 break
+            await self._skip_body(message, payload)
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -136,6 +142,17 @@
             self._fail_body('The connection was reset.')
         super().connection_lost(exc)
 
+    async def _skip_body(
+        self, message: RawResponseMessage, payload: StreamReader
+    ) -> None:
+        """Read a body away: a large unread one stops reading the socket."""
+        if not (payload.is_eof() or _is_delimited(message)):
+            self.reject('Answer to another request has no end.')
+        async for chunk in payload.iter_any():
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+                self.reject('Too many bytes before the right answer.')
+
     def _fail_body(self, why: str) -> None:
         payload = self._payload
         if payload is None or payload.is_eof():
@@ -178,6 +195,11 @@
         self._factory: Any = functools.partial(connection_type, loop=self._loop)
 
 
+def _is_delimited(message: RawResponseMessage) -> bool:
+    """Return whether a response itself tells where its body ends."""
+    return message.chunked or 'Content-Length' in message.headers
+
+
 def _is_of_protocol(message: RawResponseMessage) -> bool:
     """Return whether a head is one of HTTP/1, without a change of protocol."""
     return (
--- a/tests/platform_adapter/test_hostile_servers.py
+++ b/tests/platform_adapter/test_hostile_servers.py
@@ -55,6 +55,15 @@
         yield response_bytes(OTHER_HEAD, b'z' * 100) * 100
 
 
+async def other_long_response(_: bytes) -> AsyncIterator[bytes]:
+    """Send a response to another request, of a length no host can hold."""
+    yield response_bytes(OTHER_HEAD, b'').replace(
+        b'Content-Length: 0', b'Content-Length: 99999999999'
+    )
+    while True:
+        yield b'z' * BLOCK
+
+
 async def unframed_body(head: bytes) -> AsyncIterator[bytes]:
     """Send a body without a length."""
     yield unframed_head(head)
@@ -108,6 +117,7 @@
         one_header,
         interim_responses,
         other_responses,
+        other_long_response,
         unframed_body,
         long_body,
         chunk_extension,
