Keep a whole answer that is followed by bytes which are no answer

Callers saw 502 for a request that had run, and idempotent ones were sent again, if a server wrote further bytes in the same segment as the end of its answer. The parser drops the heads that it has read when it meets a fault further on in the bytes that it was given, so the whole answer went with them.

Until the head of the answer was read, the connection gives the parser no bytes behind the end of a head together with that head. The fault then meets a connection that has its answer; it closes after it, as before.

Not covered: a fault behind an answer that waits in the parser itself, behind a long copy that stopped the reading.

--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterator
 
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
@@ -30,6 +31,7 @@
 # Parsed at once: a head has 16 bytes or more, but takes over a kilobyte of
 # memory.
 _PARSE_BYTES: Final = 8 * 1024
+_HEAD_END: Final = b'\r\n\r\n'
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
 # What the bodies of such copies may have in all.
@@ -53,6 +55,9 @@
         self._body_bytes = 0
         self._framing_bytes = 0
         self._skipped_bytes = 0
+        self._is_head_read = False
+        # The bytes before the next ones, as far as a head may end in them.
+        self._last_bytes = b''
         # Named in log lines.
         self.request_id: str | None = None
 
@@ -69,6 +74,8 @@
         self._body_bytes = 0
         self._framing_bytes = 0
         self._skipped_bytes = 0
+        self._is_head_read = False
+        self._last_bytes = b''
         super().set_response_params(**params)
 
     async def read(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -93,6 +100,7 @@
             if self.is_answer(message):
                 break
             await self._skip_body(message, payload)
+        self._is_head_read = True
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -121,12 +129,11 @@
             # The parser goes on with what it has kept.
             super().data_received(data)
             return
-        for start in range(0, len(data), _PARSE_BYTES):
+        for piece in self._pieces(data):
             if not self._awaits_response:
                 self.close()
             if self.transport is None or self.transport.is_closing():
                 return
-            piece = data[start : start + _PARSE_BYTES]
             super().data_received(piece)
             if self.exception() is not None:
                 self._fail_body('The framing of the body is broken.')
@@ -142,6 +149,27 @@
             self._fail_body('The connection was reset.')
         super().connection_lost(exc)
 
+    def _pieces(self, data: bytes) -> Iterator[bytes]:
+        """
+        Yield bytes in pieces that end with each head.
+
+        If the parser fails, it drops the heads of the same piece: an answer
+        would be lost with bytes that follow its end.
+        """
+        start = 0
+        while start < len(data):
+            piece = data[start : start + _PARSE_BYTES]
+            if not self._is_head_read:
+                position = (self._last_bytes + piece).find(_HEAD_END)
+                if position >= 0:
+                    position += len(_HEAD_END) - len(self._last_bytes)
+                    piece = piece[:position]
+                self._last_bytes = (self._last_bytes + piece)[
+                    1 - len(_HEAD_END) :
+                ]
+            yield piece
+            start += len(piece)
+
     async def _skip_body(
         self, message: RawResponseMessage, payload: StreamReader
     ) -> None:
