Count and log each request without a complete answer by its cause

On call, a connection that a host closed could not be told from one that its caller closed: calls that the stop of a host cancelled were logged as 'the caller left', and four ways had no line of ours at all: a write to a caller that had left, an error in the host, a call that ended before it was admitted, and whole requests that were read behind one whose answer closed the connection.

CutCause names the ways; burdockledge_cut_answers_total counts them by cause and by whether the call may have run, 'Answered.' bears both, and 'Cut off.', 'Requests were dropped.' and 'Request is not whole.' cover what never got as far. After an error in the host the caller gets 502, or 503 if the call was never sent; it was a 500 of the HTTP library, and a stream ended with a close that an unframed answer can not be told from a whole one by.

--- a/src/burdockledge/cli/_explain.py
+++ b/src/burdockledge/cli/_explain.py
@@ -61,6 +61,18 @@
     'the caller left': (
         'the caller closed the connection before the end of the response'
     ),
+    'the stop of this host cut': (
+        'the response had started and was not complete before the host exited'
+    ),
+    'a fault of this host': (
+        'an error in the host; see its line that the call failed'
+    ),
+    'the answer stalled': (
+        'the server sent nothing for too long during the response'
+    ),
+    'an answer before it': (
+        'it was read behind another request, after which the connection closed'
+    ),
     'the server failed': 'the server responded with an error of its own',
     'the key is not known': (
         'no configuration in force on this host contains the key'
--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -15,6 +15,8 @@
 
 from burdockledge.calls import CallerLimits
 from burdockledge.http_client import READ_BYTES
+from burdockledge.platform import _names as names
+from burdockledge.relay import CutCause
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -41,6 +43,8 @@
 )
 
 _Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
+# Called with the ids of whole requests that no handler will get, and why.
+_DropListener = Callable[[list[str | None], CutCause], None]
 
 
 class CallerConnection(RequestHandler):
@@ -63,6 +67,19 @@
         self._header_bytes = header_bytes
         self._head_bytes = 0
         self._last_payload: StreamReader = EMPTY_PAYLOAD
+        # Whether this host closes the connection as it stops.
+        self.is_shut_down = False
+        self._is_aborted = False
+
+    @property
+    def close_cause(self) -> CutCause:
+        """Why requests on this connection are not answered, if it closes."""
+        if self.is_shut_down:
+            return CutCause.host_stopped
+        # The task ends by itself after an answer that closes the connection.
+        if self._is_aborted or self._task_handler is None:
+            return CutCause.connection_closed
+        return CutCause.caller_left
 
     @property
     def has_next_request(self) -> bool:
@@ -114,10 +131,28 @@
             )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timer with the connection."""
+        """Cancel the timer, and report requests that were not handled."""
         self._cancel_header_timer()
+        dropped_ids = [
+            message.headers.get(names.REQUEST_ID)
+            for message, payload in self._messages
+            if isinstance(message, RawRequestMessage) and payload.is_eof()
+        ]
+        if dropped_ids:
+            self._server.on_drop(dropped_ids, self.close_cause)
         super().connection_lost(exc)
 
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close the connection as the host stops."""
+        self.is_shut_down = True
+        await super().shutdown(timeout)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._is_aborted = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
@@ -158,9 +193,10 @@
 
     limits = CallerLimits()
 
-    def __init__(self, handler: _Handler) -> None:
+    def __init__(self, handler: _Handler, on_drop: _DropListener) -> None:
         """Create a server that cancels the calls of callers that leave."""
         super().__init__(handler, handler_cancellation=True)
+        self.on_drop = on_drop
         # Set when the listeners have closed.
         self.is_shutting_down = False
 
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -18,7 +18,7 @@
     CallerServer,
 )
 from burdockledge.platform._calls import BadCallError, decode_call
-from burdockledge.relay import CallerPort
+from burdockledge.relay import CallerPort, CutCause
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -34,6 +34,7 @@
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
+_BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _BACKLOG: Final = 512
 # Requests in flight when the listeners close are cancelled after this time,
@@ -55,6 +56,20 @@
         self._request = request
         self._is_closing = is_closing
         self.response: StreamResponse | None = None
+        self._is_streamed = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller may have got a part of the response."""
+        return self._is_streamed or self._request.writer.output_size > 0
+
+    @property
+    def is_shut_down(self) -> bool:
+        """Whether this host closes the connection as it stops."""
+        connection = self._request.protocol
+        return (
+            isinstance(connection, CallerConnection) and connection.is_shut_down
+        )
 
     async def send_response(
         self, status: int, headers: Headers, body: bytes
@@ -68,6 +83,7 @@
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body is streamed."""
+        self._is_streamed = True
         response = StreamResponse(status=status)
         self._add_headers(response, headers)
         self.response = response
@@ -85,9 +101,9 @@
 
     def abort(self) -> None:
         """Reset the connection, so that a cut response never looks complete."""
-        transport = self._request.transport
-        if transport is not None:
-            transport.abort()
+        connection = self._request.protocol
+        if isinstance(connection, CallerConnection):
+            connection.abort()
 
     def _add_headers(self, response: StreamResponse, headers: Headers) -> None:
         for name, text in headers:
@@ -128,7 +144,7 @@
         self._metrics = metrics
         self._metrics_lock = asyncio.Lock()
         self._listeners: list[tuple[Server, asyncio.Server]] = []
-        self._caller_server = CallerServer(self._handle_call)
+        self._caller_server = CallerServer(self._handle_call, self._note_drop)
         # Set when the host drains: responses then close their connection.
         self.is_closing = False
         # How long requests in flight may take when the listeners have closed.
@@ -194,8 +210,39 @@
             )
             error_response.force_close()
             return error_response
+        except (asyncio.CancelledError, ConnectionError):
+            self._note_unread_request(request, caller)
+            raise
         await self._relay.handle(call, caller)
-        return caller.response or _empty_response(_UNAVAILABLE)
+        return caller.response or _empty_response(_BAD_GATEWAY)
+
+    def _note_unread_request(
+        self, request: BaseRequest, caller: _HttpCaller
+    ) -> None:
+        cause = caller.cancel_cause
+        self._metrics.count('unread_requests', cause=cause.name)
+        _log.info(
+            'Request is not whole.',
+            request=request.headers.get(names.REQUEST_ID),
+            why=cause.value,
+            cause=cause.name,
+        )
+
+    def _note_drop(
+        self, request_ids: list[str | None], cause: CutCause
+    ) -> None:
+        self._metrics.count(
+            'cut_answers',
+            len(request_ids),
+            cause=cause.name,
+            may_have_run='false',
+        )
+        _log.warning(
+            'Requests were dropped.',
+            requests=request_ids,
+            why=cause.value,
+            cause=cause.name,
+        )
 
     async def _handle_directory(self, request: BaseRequest) -> StreamResponse:
         if request.path != names.DIRECTORY_PATH:
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from burdockledge.relay._answer_memory import MAX_LARGE_BYTES, MAX_SMALL_BYTES
+from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._event_buffer import EventBuffer
 from burdockledge.relay._part_guard import GuardedPart, PartOperations
 from burdockledge.relay._ports import (
@@ -44,6 +45,7 @@
     'SERVERS_STREAM',
     'STREAMS',
     'CallerPort',
+    'CutCause',
     'EventBuffer',
     'GuardedPart',
     'Headers',
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -14,6 +14,7 @@
     HeldAnswer,
     read_body,
 )
+from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._placer import Placer, Refusal
 from burdockledge.relay._ports import (
     IncompleteResponseError,
@@ -22,7 +23,7 @@
     SendFailure,
     StalledResponseError,
 )
-from burdockledge.relay._responder import BAD_GATEWAY, UNAVAILABLE
+from burdockledge.relay._responder import BAD_GATEWAY, CUT, UNAVAILABLE
 from burdockledge.relay._routing_state import SendOutcome
 from burdockledge.relay._stream_relay import StreamRelay
 from burdockledge.scheduling import CallResult
@@ -108,16 +109,16 @@
             if not isinstance(result, str):
                 return result
             refusal = Refusal(result)
-        return await self._give_up(served, refusal)
+        return await self.give_up(served, refusal)
 
-    async def _give_up(
+    async def give_up(
         self, served: ServedCall, refusal: Refusal
     ) -> tuple[int, str]:
         """Tell the caller that its call got no answer."""
         why = refusal.why
         if served.has_response_started:
             served.caller.abort()
-            return 0, why
+            return CUT, why
         if served.may_have_run:
             return await self._responder.send_error(served, BAD_GATEWAY, why)
         return await self._responder.send_error(
@@ -282,13 +283,14 @@
             body = await read_body(response, held)
         except OversizedResponseError:
             outcome.result = CallResult.failed
-            served.event_buffer.discard_partial()
-            return 'the answer is too large'
-        except IncompleteResponseError as error:
+            return _break_off(served, CutCause.answer_too_large)
+        except StalledResponseError:
             outcome.result = CallResult.unreachable
-            outcome.has_broken = not isinstance(error, StalledResponseError)
-            served.event_buffer.discard_partial()
-            return 'the answer broke off'
+            return _break_off(served, CutCause.server_stalled)
+        except IncompleteResponseError:
+            outcome.result = CallResult.unreachable
+            outcome.has_broken = True
+            return _break_off(served, CutCause.server_broke)
         return await self._relay_body(served, outcome, response, body)
 
     async def _relay_body(
@@ -343,4 +345,11 @@
         )
 
 
+def _break_off(served: ServedCall, cause: CutCause) -> str:
+    """Drop what is incomplete of an answer, and return why."""
+    served.event_buffer.discard_partial()
+    served.cut_cause = cause
+    return cause.value
+
+
 __all__ = ('Forwarder',)
--- a/src/burdockledge/relay/_ports.py
+++ b/src/burdockledge/relay/_ports.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from burdockledge.relay._cut_cause import CutCause
 from burdockledge.scheduling import ServerNotice
 
 if TYPE_CHECKING:
@@ -121,7 +122,28 @@
 
 
 class CallerPort(ABC):
-    """Sends the response to one caller."""
+    """
+    Sends the response to one caller.
+
+    Methods raise ``ConnectionError`` if the caller has left.
+    """
+
+    @property
+    @abstractmethod
+    def is_shut_down(self) -> bool:
+        """Whether this host closes the connection as it stops."""
+
+    @property
+    @abstractmethod
+    def has_begun(self) -> bool:
+        """Whether the caller may have got a part of the response."""
+
+    @property
+    def cancel_cause(self) -> CutCause:
+        """Why a call has no complete answer, if it is cancelled."""
+        if self.is_shut_down:
+            return CutCause.host_stopped
+        return CutCause.caller_left
 
     @abstractmethod
     async def send_response(
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -8,9 +8,12 @@
 
 from result import Err
 
+from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._forwarder import Forwarder
+from burdockledge.relay._placer import Refusal
 from burdockledge.relay._planned_stop import STOPPING, PlannedStop
 from burdockledge.relay._responder import (
+    CUT,
     GATEWAY_TIMEOUT,
     UNAVAILABLE,
     Responder,
@@ -76,22 +79,40 @@
         """Serve one call until its caller has the whole response."""
         self.in_flight += 1
         try:
-            await self._handle(call, caller)
+            served = await self._admit(call, caller)
+            if served is not None:
+                await self._serve(served)
         finally:
             self.in_flight -= 1
 
-    async def _handle(self, call: ForwardedCall, caller: CallerPort) -> None:
+    async def _admit(
+        self, call: ForwardedCall, caller: CallerPort
+    ) -> ServedCall | None:
+        """Return a call to serve, None if it was refused."""
+        try:
+            return await self._admit_or_refuse(call, caller)
+        except asyncio.CancelledError:
+            self._responder.record_cut(call, caller.cancel_cause)
+            raise
+        except ConnectionError:
+            self._responder.record_cut(call, CutCause.caller_left)
+            caller.abort()
+            return None
+
+    async def _admit_or_refuse(
+        self, call: ForwardedCall, caller: CallerPort
+    ) -> ServedCall | None:
         arrived_at = self._clock.monotonic()
         routes = await self._wait_for_routes(arrived_at)
         if routes is None:
             await self._responder.send_unavailable(
                 call, caller, 'no configuration yet'
             )
-            return
+            return None
         admitted = routes.admit(call)
         if isinstance(admitted, Err):
             await self._responder.reject(call, caller, admitted.err_value)
-            return
+            return None
         route, team = admitted.ok_value
         time_limit_seconds = route.timeout_seconds
         if call.caller_timeout_seconds is not None:
@@ -101,8 +122,8 @@
         deadline = arrived_at + time_limit_seconds
         if self._planned_stop.would_cut_off(deadline):
             await self._responder.send_unavailable(call, caller, STOPPING)
-            return
-        served = ServedCall(
+            return None
+        return ServedCall(
             call=call,
             caller=caller,
             route=route,
@@ -112,7 +133,6 @@
             deadline=deadline,
             version=routes.document.version,
         )
-        await self._serve(served)
 
     async def _wait_for_routes(self, arrived_at: float) -> RouteIndex | None:
         """Return the routes, None if a starting host has none in time."""
@@ -124,21 +144,56 @@
 
     async def _serve(self, served: ServedCall) -> None:
         try:
-            async with self._planned_stop.time_limit(served.deadline):
-                status, why = await self._forwarder.forward(served)
-        except TimeoutError:
-            status, why = await self._respond_to_timeout(served)
+            status, why = await self._respond(served)
         except asyncio.CancelledError:
-            self._responder.record_outcome(served, 0, 'the caller left')
+            self._record_cut(served, served.caller.cancel_cause)
             raise
+        except ConnectionError:
+            # Failed connections to servers end a send, not the call.
+            self._record_cut(served, CutCause.caller_left)
+            served.caller.abort()
+            return
         self._responder.record_outcome(served, status, why)
 
+    def _record_cut(self, served: ServedCall, cause: CutCause) -> None:
+        served.cut_cause = cause
+        self._responder.record_outcome(served, CUT, cause.value)
+
+    async def _respond(self, served: ServedCall) -> tuple[int, str]:
+        """Return the status that the caller got, and why."""
+        try:
+            async with self._planned_stop.time_limit(served.deadline):
+                return await self._forwarder.forward(served)
+        except TimeoutError:
+            return await self._respond_to_timeout(served)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            return await self._respond_to_fault(served, error)
+
+    async def _respond_to_fault(
+        self, served: ServedCall, error: Exception
+    ) -> tuple[int, str]:
+        asyncio.get_running_loop().call_exception_handler(
+            {
+                'message': f'Call {served.call.request_id} failed',
+                'exception': error,
+            }
+        )
+        served.cut_cause = CutCause.host_failed
+        served.has_response_started = served.caller.has_begun
+        return await self._forwarder.give_up(
+            served, Refusal(CutCause.host_failed.value)
+        )
+
     async def _respond_to_timeout(self, served: ServedCall) -> tuple[int, str]:
         is_stopping = self._planned_stop.is_over
         if served.has_response_started:
             served.caller.abort()
-            limit = 'stop of this host' if is_stopping else 'time limit'
-            return 0, f'the {limit} cut the answer'
+            served.cut_cause = (
+                CutCause.host_stopped if is_stopping else CutCause.time_limit
+            )
+            return CUT, served.cut_cause.value
         if served.may_have_run:
             return await self._responder.send_error(
                 served,
--- a/src/burdockledge/relay/_responder.py
+++ b/src/burdockledge/relay/_responder.py
@@ -12,6 +12,7 @@
 
     from burdockledge.calls import ForwardedCall
     from burdockledge.clock import Clock
+    from burdockledge.relay._cut_cause import CutCause
     from burdockledge.relay._ports import CallerPort, Headers
     from burdockledge.relay._routing_state import RoutingState
     from burdockledge.relay._served_call import ServedCall
@@ -19,6 +20,8 @@
 
 _log = make_logger('relay')
 
+# In place of a status: the answer is incomplete.
+CUT: Final = 0
 BAD_GATEWAY: Final = 502
 # Tells callers that the call has not run and will not.
 UNAVAILABLE: Final = 503
@@ -112,7 +115,7 @@
         """
         Log and count how an admitted call ended.
 
-        :param status: the status sent, 0 if the response was cut off.
+        :param status: the status sent, ``CUT`` if the response was cut off.
         """
         seconds = self._clock.monotonic() - served.arrived_at
         route = served.route.name
@@ -120,6 +123,9 @@
         if not 0 < status < _BAD_REQUEST:
             self._metrics.count('failures', why=why)
         self._metrics.observe('call_seconds', seconds, route=route)
+        cause = served.cut_cause if status == CUT else None
+        if cause is not None:
+            self._count_cut(cause, may_have_run=served.may_have_run)
         if served.first_event_seconds is not None:
             self._metrics.observe(
                 'longest_pause_seconds',
@@ -136,13 +142,33 @@
             version=served.version,
             status=status,
             why=why,
+            cause=None if cause is None else cause.name,
             sends=served.sends,
             runs=served.runs,
+            may_have_run=served.may_have_run,
             ms=round(seconds * _MS_PER_SECOND),
             first_ms=round((served.first_event_seconds or 0) * _MS_PER_SECOND),
             pause_ms=round(served.longest_pause_seconds * _MS_PER_SECOND),
         )
 
+    def record_cut(self, call: ForwardedCall, cause: CutCause) -> None:
+        """Log and count a call that ended before it was admitted."""
+        self._count_cut(cause, may_have_run=False)
+        _log.warning(
+            'Cut off.',
+            request=call.request_id,
+            why=cause.value,
+            cause=cause.name,
+            may_have_run=False,
+        )
+
+    def _count_cut(self, cause: CutCause, *, may_have_run: bool) -> None:
+        self._metrics.count(
+            'cut_answers',
+            cause=cause.name,
+            may_have_run='true' if may_have_run else 'false',
+        )
+
     def _retry_after_headers(self, seconds: float | None) -> Headers:
         if seconds is None:
             return ()
@@ -154,4 +180,4 @@
         return f'{_RETRY_AFTER_SECONDS * self._random.uniform(0.5, 1.5):.2f}'
 
 
-__all__ = ('BAD_GATEWAY', 'GATEWAY_TIMEOUT', 'UNAVAILABLE', 'Responder')
+__all__ = ('BAD_GATEWAY', 'CUT', 'GATEWAY_TIMEOUT', 'UNAVAILABLE', 'Responder')
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._event_buffer import EventBuffer
 
 if TYPE_CHECKING:
@@ -25,7 +26,8 @@
     monotonic clock. ``version`` is the version of the configuration that
     admitted the call. ``tried_instance_ids`` holds the instances to
     which it was sent. ``sends`` counts all sends, ``runs`` those after which
-    the call may have run. ``media_type`` is that of a stream that began.
+    the call may have run. ``cut_cause`` is why the answer is incomplete, if it
+    ends now. ``media_type`` is that of a stream that began.
     ``first_event_seconds`` is the time from arrival
     to the first write of events, ``longest_pause_seconds`` the longest time
     between two writes.
@@ -44,6 +46,7 @@
     runs: int = 0
     may_have_run: bool = False
     has_response_started: bool = False
+    cut_cause: CutCause = CutCause.server_broke
     media_type: str | None = None
     event_buffer: EventBuffer = field(default_factory=EventBuffer)
     first_event_seconds: float | None = None
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -262,6 +262,12 @@
     headers: Headers = ()
     body: bytes = b''
     end: str = ''
+    is_shut_down: bool = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a head was recorded."""
+        return bool(self.status)
 
     async def send_response(
         self, status: int, headers: Headers, body: bytes
@@ -306,6 +312,7 @@
     routing_state: FakeRoutingState | None = None,
     cancel_after: float | None = None,
     stop: tuple[float, float] | None = None,
+    caller: FakeCaller | None = None,
 ) -> RelayRun:
     """
     Serve a call in virtual time.
@@ -314,11 +321,12 @@
     :param cancel_after: seconds until the caller closes its connection.
     :param stop: the delay of a planned stop, and the time between planning
         it and the call, in seconds.
+    :param caller: gets the response.
     """
     loop = VirtualTimeLoop()
     state = routing_state or FakeRoutingState()
     client = FakeClient(list(script))
-    caller = FakeCaller()
+    caller = caller or FakeCaller()
     metrics = Metrics()
     relay = Relay(state, client, VirtualClock(loop), Random(1), metrics)
 
