--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterator
 
     from aiohttp import ClientRequest, ClientTimeout
     from aiohttp.connector import Connection
@@ -32,8 +33,11 @@
 # Parsed at once: a head has 16 bytes or more, but takes over a kilobyte of
 # memory.
 _PARSE_BYTES: Final = 8 * 1024
+_HEAD_END: Final = b'\r\n\r\n'
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
+# What the bodies of such copies may have in all.
+_MAX_SKIPPED_BYTES: Final = 8 * 1024 * 1024
 # Heads, chunk sizes and trailers between two parts of a body.
 _MAX_FRAMING_BYTES: Final = 128 * 1024
 # Requests that one connection carries, which bounds the ids that it keeps.
@@ -56,6 +60,10 @@
         self._framing_bytes = 0
         # Hashes of the ids of all requests before.
         self._carried_ids: set[int] = set()
+        self._skipped_bytes = 0
+        self._is_head_read = False
+        # The bytes before the next ones, as far as a head may end in them.
+        self._last_bytes = b''
         # Named in log lines.
         self.request_id: str | None = None
 
@@ -94,6 +102,9 @@
         self._heads_left = _MAX_HEADS
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._skipped_bytes = 0
+        self._is_head_read = False
+        self._last_bytes = b''
         super().set_response_params(**params)
 
     async def read(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -104,6 +115,7 @@
 
         :raises HttpProcessingError: if too many of them come before the final
             one, or bytes that are no response of the protocol.
+        :raises aiohttp.ClientPayloadError: if one of them ends early.
         """
         while True:
             message, payload = await super().read()
@@ -116,6 +128,8 @@
                 return message, payload
             if self.is_answer(message):
                 break
+            await self._skip_body(message, payload)
+        self._is_head_read = True
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -144,12 +158,11 @@
             # The parser goes on with what it has kept.
             super().data_received(data)
             return
-        for start in range(0, len(data), _PARSE_BYTES):
+        for piece in self._pieces(data):
             if not self._awaits_response:
                 self.close()
             if self.transport is None or self.transport.is_closing():
                 return
-            piece = data[start : start + _PARSE_BYTES]
             super().data_received(piece)
             if self.exception() is not None:
                 self._fail_body('The framing of the body is broken.')
@@ -165,6 +178,38 @@
             self._fail_body('The connection was reset.')
         super().connection_lost(exc)
 
+    def _pieces(self, data: bytes) -> Iterator[bytes]:
+        """
+        Yield bytes in pieces that end with each head.
+
+        If the parser fails, it drops the heads of the same piece: an answer
+        would be lost with bytes that follow its end.
+        """
+        start = 0
+        while start < len(data):
+            piece = data[start : start + _PARSE_BYTES]
+            if not self._is_head_read:
+                position = (self._last_bytes + piece).find(_HEAD_END)
+                if position >= 0:
+                    position += len(_HEAD_END) - len(self._last_bytes)
+                    piece = piece[:position]
+                self._last_bytes = (self._last_bytes + piece)[
+                    1 - len(_HEAD_END) :
+                ]
+            yield piece
+            start += len(piece)
+
+    async def _skip_body(
+        self, message: RawResponseMessage, payload: StreamReader
+    ) -> None:
+        """Read a body away: a large unread one stops reading the socket."""
+        if not (payload.is_eof() or _is_delimited(message)):
+            self.reject('Answer to another request has no end.')
+        async for chunk in payload.iter_any():
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+                self.reject('Too many bytes before the right answer.')
+
     def _fail_body(self, why: str) -> None:
         payload = self._payload
         if payload is None or payload.is_eof():
@@ -246,6 +291,11 @@
         return self._connection_type(self._loop)
 
 
+def _is_delimited(message: RawResponseMessage) -> bool:
+    """Return whether a response itself tells where its body ends."""
+    return message.chunked or 'Content-Length' in message.headers
+
+
 def _is_of_protocol(message: RawResponseMessage) -> bool:
     """Return whether a head is one of HTTP/1, without a change of protocol."""
     return (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import logging
+from collections.abc import Iterator, MutableMapping
+from typing import Any
 
 import pytest
 import structlog
+from structlog.testing import capture_logs
 
 
 @pytest.fixture(autouse=True)
@@ -17,3 +20,15 @@
 
 
 structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+
+
+@pytest.fixture
+def log() -> Iterator[list[MutableMapping[str, Any]]]:
+    """Return the lines that are logged during the test, whatever the level."""
+    configuration = structlog.get_config()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG)
+    )
+    with capture_logs() as lines:
+        yield lines
+    structlog.configure(**configuration)
