Send calls of serve once as their connection breaks

Callers saw a call with a key run twice at one server (PUT or DELETE, marked as not idempotent), or were told not-run of a call that had run, where the server ended its connection and was gone as well.

Cause: the client sessions of serve left the resend of aiohttp on, which sends a request of an idempotent method once more if its connection breaks before the answer begins, whatever the call's key says. The second send can also fail to connect: the client then took the failure of the second for proof that the call was never sent, and the runner may send it to another server. Class: a repeat below the one place that knows whether a call may be repeated. The host that forwards had switched it off for its servers; serve had not.

Change: make_session makes sessions that never resend, and open_sessions those of serve, for its clients and for the tests of the gateway. The log client and the host list client use them, too: their reads are repeated by their own loops.

What it costs: a call on a pooled connection that the server closes as it is sent is in doubt now, and is sent again only within the retry budget, if at all.

Change to a test's harness: tests/gateway/running_host.py uses the sessions of serve in place of its own; no assertion changed.

--- a/src/burdockledge/backends/__init__.py
+++ b/src/burdockledge/backends/__init__.py
@@ -17,10 +17,12 @@
     ServiceClient,
     ServiceReply,
 )
+from burdockledge.backends._sessions import ClientSessions, open_sessions
 from burdockledge.backends._sse import SseSplitter
 
 __all__ = (
     'CallFailure',
+    'ClientSessions',
     'EndKind',
     'EngineCall',
     'EngineClient',
@@ -32,4 +34,5 @@
     'SseSplitter',
     'StreamEnd',
     'TokenChunk',
+    'open_sessions',
 )
--- a/src/burdockledge/http_client/__init__.py
+++ b/src/burdockledge/http_client/__init__.py
@@ -8,11 +8,13 @@
     BoundedConnection,
     BoundedConnector,
 )
+from burdockledge.http_client._session import make_session
 
 __all__ = (
     'READ_BYTES',
     'BoundedConnection',
     'BoundedConnector',
     'OversizedBodyError',
+    'make_session',
     'read_body',
 )
--- a/src/burdockledge/serving.py
+++ b/src/burdockledge/serving.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from dataclasses import dataclass
 from random import SystemRandom
 from typing import TYPE_CHECKING, Final
 
-import aiohttp
-
 from burdockledge.app import EntryHost, HostDependencies
-from burdockledge.backends import HttpEngineClient, HttpServiceClient
+from burdockledge.backends import (
+    HttpEngineClient,
+    HttpServiceClient,
+    open_sessions,
+)
 from burdockledge.clock import SystemClock
 from burdockledge.gateway import Gateway
-from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import on_stop_signal
 from burdockledge.membership import UdpSocket
 from burdockledge.peers import LinkConfig, PeerKeys, TcpPeerBus, TlsContexts
@@ -23,26 +22,11 @@
 from burdockledge.wire import Hello
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from burdockledge.settings import ServeSettings
 
 _log = make_logger('host')
 
 _CONNECT_TIMEOUT_SECONDS: Final = 1
-_KEEPALIVE_SECONDS: Final = 30
-
-
-@dataclass(frozen=True, slots=True)
-class ClientSessions:
-    """
-    HTTP client sessions with and without connection reuse.
-
-    ``unpooled`` opens a new connection for each request.
-    """
-
-    pooled: aiohttp.ClientSession
-    unpooled: aiohttp.ClientSession
 
 
 async def serve(settings: ServeSettings) -> None:
@@ -68,7 +52,7 @@
         tls.peer_server,
         time_line,
     )
-    async with _open_sessions() as sessions:
+    async with open_sessions() as sessions:
         dependencies = HostDependencies(
             clock=clock,
             random=SystemRandom(),
@@ -99,21 +83,6 @@
         await _run(host, peer_keys, tls)
 
 
-@contextlib.asynccontextmanager
-async def _open_sessions() -> AsyncIterator[ClientSessions]:
-    pooled_connector = BoundedConnector(keepalive_timeout=_KEEPALIVE_SECONDS)
-    unpooled_connector = BoundedConnector(force_close=True)
-    async with (
-        aiohttp.ClientSession(
-            connector=pooled_connector, read_bufsize=READ_BYTES
-        ) as pooled,
-        aiohttp.ClientSession(
-            connector=unpooled_connector, read_bufsize=READ_BYTES
-        ) as unpooled,
-    ):
-        yield ClientSessions(pooled, unpooled)
-
-
 async def _run(host: EntryHost, peer_keys: PeerKeys, tls: TlsContexts) -> None:
     stop_requested = host.components.lifecycle.drain_requested
     on_stop_signal(stop_requested.set)
--- a/tests/gateway/running_host.py
+++ b/tests/gateway/running_host.py
@@ -13,7 +13,12 @@
 from aiohttp.test_utils import TestServer
 
 from burdockledge.app import EntryHost, HostDependencies
-from burdockledge.backends import HttpEngineClient, HttpServiceClient
+from burdockledge.backends import (
+    ClientSessions,
+    HttpEngineClient,
+    HttpServiceClient,
+    open_sessions,
+)
 from burdockledge.clock import SystemClock
 from burdockledge.configuration import PatchRecord, hash_key
 from burdockledge.gateway import Gateway, LifecycleState
@@ -127,11 +132,7 @@
         engine_task = loop.create_task(engine.run())
         stack.callback(engine_task.cancel)
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        unpooled_session = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True),
-            ),
-        )
+        sessions = await stack.enter_async_context(open_sessions())
         port = free_port()
         peer_address = f'127.0.0.1:{free_port()}'
         settings = ServeSettings(
@@ -146,7 +147,7 @@
             tls_key=key,
             **overrides,
         )
-        host = make_host(settings, session, unpooled_session)
+        host = make_host(settings, sessions)
         await host.start()
         stack.push_async_callback(stop_host, host)
         await host.components.configuration.wait_ready()
@@ -174,11 +175,7 @@
         await host.stop()
 
 
-def make_host(
-    settings: ServeSettings,
-    session: aiohttp.ClientSession,
-    unpooled_session: aiohttp.ClientSession,
-) -> EntryHost:
+def make_host(settings: ServeSettings, sessions: ClientSessions) -> EntryHost:
     """Construct a host that uses the real network."""
     clock = SystemClock()
     time_line = TimeLine('h1', clock, 1000)
@@ -191,10 +188,12 @@
         bus=bus,
         datagram_socket=UdpSocket(settings.peer_address),
         peer_keys=peer_keys,
-        log_client=HttpLogClient(settings.log_url, session),
+        log_client=HttpLogClient(settings.log_url, sessions.pooled),
         host_list_client=None,
-        engine_client=HttpEngineClient(session, unpooled_session, 1, 2),
-        service_client=HttpServiceClient(session, unpooled_session, 1),
+        engine_client=HttpEngineClient(
+            sessions.pooled, sessions.unpooled, 1, 2
+        ),
+        service_client=HttpServiceClient(sessions.pooled, sessions.unpooled, 1),
         time_line=time_line,
         boot=1,
     )
