Follow no redirects of services and engines

Callers saw the answer of a server that was not among those of their class, and a call with a key ran there as well as at the server that was chosen; or they were told not-run of a call that had run, where the redirect led to a closed port.

Cause: allow_redirects was left at its default in the clients of serve, so that aiohttp sent a call on to any address that an answer named, 307 and 308 with method, body and key. A failure to connect there counted as not_sent, the proof that nothing ran. The host that forwards follows none.

Change: both clients follow none.

--- a/src/burdockledge/backends/_http_engine.py
+++ b/src/burdockledge/backends/_http_engine.py
@@ -81,6 +81,7 @@
                     _REQUEST_ID_HEADER: call.request_id,
                 },
                 timeout=self._timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != _OK:
                     yield await _read_error(response, call)
--- a/src/burdockledge/backends/_http_service.py
+++ b/src/burdockledge/backends/_http_service.py
@@ -70,6 +70,7 @@
                     total=call.timeout_seconds,
                     sock_connect=self._connect_timeout_seconds,
                 ),
+                allow_redirects=False,
             ) as response:
                 return await _read_reply(response, call)
         except (
