Follow no redirects of the platform's services

Nobody has seen it: an append to the log or the store would be sent on to any address that an answer names, and its answer be taken for the platform's: 201 from there confirmed a claim that the log does not have.

Cause: allow_redirects at its default, as in the clients of backend servers. Change: the clients of store, log and host list follow none; a redirect is an answer that can not be read, and the append is in doubt. A resend by the library can not repeat an append: aiohttp repeats no POST. The session of the store client keeps its resend of reads, which are harmless; that of serve's clients has none.

Evidence, before: all 30 cases of test_a_call_to_the_platform_is_not_redirected fail.

--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -226,6 +226,7 @@
                 params=query,
                 data=body,
                 timeout=client_timeout,
+                allow_redirects=False,
             ) as response:
                 return (
                     response.status,
--- a/src/burdockledge/platform_api/_host_list.py
+++ b/src/burdockledge/platform_api/_host_list.py
@@ -64,7 +64,7 @@
         client_timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
         try:
             async with self._session.get(
-                self._url, timeout=client_timeout
+                self._url, timeout=client_timeout, allow_redirects=False
             ) as response:
                 if response.status != _HTTP_OK:
                     return Err(PlatformFailure.unavailable)
--- a/src/burdockledge/platform_api/_http_log.py
+++ b/src/burdockledge/platform_api/_http_log.py
@@ -55,6 +55,7 @@
                 self._url(stream),
                 data=body.encode(),
                 timeout=aiohttp.ClientTimeout(total=_APPEND_TIMEOUT_SECONDS),
+                allow_redirects=False,
             ) as response:
                 if response.status == _HTTP_CREATED:
                     appended = _AppendResponse.model_validate_json(
@@ -85,6 +86,7 @@
                 self._url(stream),
                 params=parameters,
                 timeout=client_timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != _HTTP_OK:
                     return Err(PlatformFailure.unavailable)
--- a/tests/http_client/test_redirects.py
+++ b/tests/http_client/test_redirects.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 import pytest
 from result import Err
 
@@ -19,6 +20,15 @@
     StreamEnd,
     open_sessions,
 )
+from burdockledge.clock import SystemClock
+from burdockledge.platform import StoreClient
+from burdockledge.platform_api import (
+    HttpHostListClient,
+    HttpLogClient,
+    PlatformFailure,
+)
+from burdockledge.relay import CONFIGURATION_STREAM, SERVERS_STREAM
+from burdockledge.replication import SourceFailure
 from tests.platform_adapter.standin_server import StandInServer
 
 STATUSES = (301, 302, 303, 307, 308)
@@ -139,3 +149,64 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+async def append_to_log(address: str, session: aiohttp.ClientSession) -> bool:
+    """Append to the log."""
+    client = HttpLogClient(f'http://{address}', session)
+    return await client.append('s', 'x') == Err(PlatformFailure.in_doubt)
+
+
+async def read_log(address: str, session: aiohttp.ClientSession) -> bool:
+    """Read the log."""
+    client = HttpLogClient(f'http://{address}', session)
+    return await client.read('s', 0, 0) == Err(PlatformFailure.unavailable)
+
+
+async def read_hosts(address: str, session: aiohttp.ClientSession) -> bool:
+    """Read the list of hosts."""
+    client = HttpHostListClient(f'http://{address}', session)
+    return await client.read() == Err(PlatformFailure.unavailable)
+
+
+async def register(address: str, session: aiohttp.ClientSession) -> bool:
+    """Append to a topic of the store."""
+    client = StoreClient(address, session, SystemClock())
+    return not await client.register('h', '127.0.0.1:7')
+
+
+async def read_tail(address: str, session: aiohttp.ClientSession) -> bool:
+    """Read a topic of the store from an offset on."""
+    client = StoreClient(address, session, SystemClock())
+    result = await client.read(CONFIGURATION_STREAM, 3)
+    return result == Err(SourceFailure.unreadable)
+
+
+async def read_newest(address: str, session: aiohttp.ClientSession) -> bool:
+    """Read the newest records of a topic of the store."""
+    client = StoreClient(address, session, SystemClock())
+    result = await client.read(SERVERS_STREAM, -1)
+    return result == Err(SourceFailure.unreadable)
+
+
+PLATFORM_CALLS = [
+    append_to_log,
+    read_log,
+    read_hosts,
+    register,
+    read_tail,
+    read_newest,
+]
+
+
+@pytest.mark.parametrize('call', PLATFORM_CALLS)
+@pytest.mark.parametrize('status', STATUSES)
+def test_a_call_to_the_platform_is_not_redirected(
+    status: int, call: Callable[[str, aiohttp.ClientSession], Awaitable[bool]]
+) -> None:
+    """Guards against an append that another address confirms."""
+
+    async def test(address: str, sessions: ClientSessions) -> None:
+        assert await call(address, sessions.pooled)
+
+    run_with_redirect(status, test)
