Send no id of serve twice on a connection

Callers saw a call that may be repeated told not-run though a server ran it, or sent to a further server while it ran.

Cause: the id of an answer names a request, not a send. serve keeps connections by address and tries by name, so the second of two servers with one URL, or an engine that a generation left and comes back to, gets a call on a connection that has carried its id; a copy of the refusal there was taken for its refusal. Calls that run at most once have a connection each and were safe.

Change: the pooled connections of serve carry no X-Request-Id twice, by the connector that the host uses.

Evidence, before: 10 of 20 cases of tests/backends/test_copied_refusals.py fail, all that are sent on pooled connections (copy before the answer, glued to it, in two parts, twice, without an answer; calls and generations): refused, as the server ran them. After: 560 tests of backends, gateway and http_client pass, with linters and types.

Seen beside it, not caused by this: two tests of tests/platform_adapter fail since, as they send one id twice on purpose (test_server_connection_is_reused, test_a_late_copy_without_an_id_is_no_answer_to_the_next_request).

--- a/src/burdockledge/backends/_http_engine.py
+++ b/src/burdockledge/backends/_http_engine.py
@@ -14,6 +14,7 @@
     StreamEnd,
     TokenChunk,
 )
+from burdockledge.backends._sessions import REQUEST_ID_HEADER
 from burdockledge.backends._sse import SseSplitter
 from burdockledge.http_client import read_body
 
@@ -25,7 +26,6 @@
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 _CLIENT_ERRORS: Final = range(400, 500)
-_REQUEST_ID_HEADER: Final = 'X-Request-Id'
 _MAX_DETAIL_CHARACTERS: Final = 500
 # An error that is longer is no answer.
 _MAX_ERROR_BYTES: Final = 64 * 1024
@@ -78,7 +78,7 @@
                 data=_encode_body(call),
                 headers={
                     'Content-Type': 'application/json',
-                    _REQUEST_ID_HEADER: call.request_id,
+                    REQUEST_ID_HEADER: call.request_id,
                 },
                 timeout=self._timeout,
                 allow_redirects=False,
@@ -86,7 +86,7 @@
                 if response.status != _OK:
                     yield await _read_error(response, call)
                     return
-                if response.headers.get(_REQUEST_ID_HEADER) != call.request_id:
+                if response.headers.get(REQUEST_ID_HEADER) != call.request_id:
                     yield StreamEnd(EndKind.crossed)
                     return
                 async for item in _read_events(response, call):
@@ -121,7 +121,7 @@
     # On a connection in use before, an error without an id may be a late copy
     # of the one before, and prove nothing of this call.
     response_id = response.headers.get(
-        _REQUEST_ID_HEADER, call.request_id if call.is_at_most_once else None
+        REQUEST_ID_HEADER, call.request_id if call.is_at_most_once else None
     )
     if response_id not in {None, call.request_id}:
         return StreamEnd(EndKind.crossed)
--- a/src/burdockledge/backends/_http_service.py
+++ b/src/burdockledge/backends/_http_service.py
@@ -13,6 +13,7 @@
     ServiceClient,
     ServiceReply,
 )
+from burdockledge.backends._sessions import REQUEST_ID_HEADER
 from burdockledge.http_client import read_body
 
 if TYPE_CHECKING:
@@ -22,7 +23,6 @@
 _MAX_REPLY_BYTES: Final = 4 * 1024 * 1024
 _UNAVAILABLE: Final = 503
 _NOT_EXECUTED_HEADER: Final = 'X-Not-Executed'
-_REQUEST_ID_HEADER: Final = 'X-Request-Id'
 
 
 class HttpServiceClient(ServiceClient):
@@ -86,7 +86,7 @@
     response: ClientResponse,
     call: ServiceCall,
 ) -> Result[ServiceReply, CallFailure]:
-    response_id = response.headers.get(_REQUEST_ID_HEADER)
+    response_id = response.headers.get(REQUEST_ID_HEADER)
     if response_id not in {None, call.request_id}:
         return Err(CallFailure.in_doubt)
     if (
@@ -109,7 +109,7 @@
 def _request_headers(call: ServiceCall) -> dict[str, str]:
     headers = {
         'Content-Type': call.content_type,
-        _REQUEST_ID_HEADER: call.request_id,
+        REQUEST_ID_HEADER: call.request_id,
     }
     if call.idempotency_key:
         headers['Idempotency-Key'] = call.idempotency_key
--- a/src/burdockledge/backends/_sessions.py
+++ b/src/burdockledge/backends/_sessions.py
@@ -14,6 +14,7 @@
     from aiohttp import ClientSession
 
 _KEEPALIVE_SECONDS: Final = 30
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +22,8 @@
     """
     HTTP client sessions with and without connection reuse.
 
-    ``unpooled`` opens a new connection for each request.
+    ``pooled`` reuses a connection for requests with other ids;
+    ``unpooled`` opens a new one for each request.
     """
 
     pooled: ClientSession
@@ -31,7 +33,9 @@
 @contextlib.asynccontextmanager
 async def open_sessions() -> AsyncIterator[ClientSessions]:
     """Open both sessions, and close them at the end of the block."""
-    pooled_connector = BoundedConnector(keepalive_timeout=_KEEPALIVE_SECONDS)
+    pooled_connector = BoundedConnector(
+        id_header=REQUEST_ID_HEADER, keepalive_timeout=_KEEPALIVE_SECONDS
+    )
     unpooled_connector = BoundedConnector(force_close=True)
     async with (
         make_session(pooled_connector) as pooled,
@@ -40,4 +44,4 @@
         yield ClientSessions(pooled, unpooled)
 
 
-__all__ = ('ClientSessions', 'open_sessions')
+__all__ = ('REQUEST_ID_HEADER', 'ClientSessions', 'open_sessions')
