Close connections of serve on which an answer to another call came

Callers saw two calls fail for one late copy of an answer: the call whose place it took, and the next one on that connection, which met the answer to the former.

Cause: an answer with another id ended the call, but its connection went back to the pool, although the answer to the call was still due on it. A client that has read the answer is too late to close it: the library hands a connection back as the last byte of a body arrives.

Change: the connection of serve's pool compares the ids as the head arrives, and is not used again if they differ. The call fails as before.

--- a/src/burdockledge/backends/_sessions.py
+++ b/src/burdockledge/backends/_sessions.py
@@ -6,17 +6,40 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.http_client import BoundedConnector, make_session
+from burdockledge.http_client import (
+    BoundedConnection,
+    BoundedConnector,
+    make_session,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from aiohttp import ClientSession
+    from aiohttp.http import RawResponseMessage
 
 _KEEPALIVE_SECONDS: Final = 30
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
 
 
+class _BackendConnection(BoundedConnection):
+    """A connection that is not used after an answer to another call."""
+
+    def is_answer(self, message: RawResponseMessage) -> bool:
+        """
+        Return True, since the clients compare the ids.
+
+        After a foreign answer, the one to the pending call may come where the
+        next is due.
+        """
+        response_id = message.headers.get(REQUEST_ID_HEADER)
+        # The log and the host list are called without ids.
+        is_identified = self.request_id and response_id
+        if is_identified and response_id != self.request_id:
+            self.force_close()
+        return True
+
+
 @dataclass(frozen=True, slots=True)
 class ClientSessions:
     """
@@ -34,7 +57,9 @@
 async def open_sessions() -> AsyncIterator[ClientSessions]:
     """Open both sessions, and close them at the end of the block."""
     pooled_connector = BoundedConnector(
-        id_header=REQUEST_ID_HEADER, keepalive_timeout=_KEEPALIVE_SECONDS
+        _BackendConnection,
+        id_header=REQUEST_ID_HEADER,
+        keepalive_timeout=_KEEPALIVE_SECONDS,
     )
     unpooled_connector = BoundedConnector(force_close=True)
     async with (
