Keep when the evidence against a prompt part was written

Callers get 503 for a part of prompts that an operator, or a whole answer, has released: a restart of a host blocks it anew, on that host; once the hosts that know of the crashes have dropped them, on all.

Cause: a record in the store holds the age that its evidence had as it was written, and a host that loads it takes that for the age of now, so the crashes seem to come after the release.

Change: a kept note carries the wall clock of its writer; a host that loads it adds what has passed since, less 5 s, by which wall clocks may differ. Too young within some seconds is harmless, as nobody releases a part so soon after a crash; too old would let a release from before the crashes void them. Evidence that is loaded may be older than the 15 minutes of evidence from peers, as its part is blocked; hosts that saw the crash keep their own time for it. A record without the time, of a former version, is written again by its writer; former versions read the new ones as before.

What remains: a clock that is further behind makes evidence as young as before, one further ahead older; a release while the store is away is lost if every host restarts before one can drop the record; a write without an answer may still be executed after the drop, and keep the part until it is dropped again.

--- a/src/burdockledge/quarantine/_evidence.py
+++ b/src/burdockledge/quarantine/_evidence.py
@@ -73,13 +73,15 @@
         cleared_at = self._cleared_at.get(part)
         return cleared_at is not None and at <= cleared_at
 
-    def add(self, suspect: CrashSuspect, now: float) -> bool:
+    def add(
+        self,
+        suspect: CrashSuspect,
+        now: float,
+        max_age_seconds: float = _EVIDENCE_SECONDS,
+    ) -> bool:
         """Add a suspect call; return whether it was new."""
         age_seconds = suspect.age_ms / _MS_PER_SECOND
-        if (
-            age_seconds > _EVIDENCE_SECONDS
-            or suspect.server in self._cleared_at
-        ):
+        if age_seconds > max_age_seconds or suspect.server in self._cleared_at:
             return False
         at = now - age_seconds
         crash = self._crashes.setdefault(
--- a/src/burdockledge/quarantine/_quarantine.py
+++ b/src/burdockledge/quarantine/_quarantine.py
@@ -219,6 +219,21 @@
             self._evidence.trim(self.blocked, now)
             self._assess()
 
+    def restore(
+        self,
+        suspects: Iterable[CrashSuspect],
+        clearances: Iterable[Clearance],
+        now: float,
+    ) -> None:
+        """Add evidence that was kept for its block, which may be old."""
+        changes = [self._evidence.clear(one, now) for one in clearances]
+        changes.extend(
+            self._evidence.add(one, now, math.inf) for one in suspects
+        )
+        if any(changes):
+            self._assess()
+            self._trim(now)
+
     def release(self, part: int, release_id: int, now: float) -> bool:
         """
         Release a part on an operator's word, on all hosts.
--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -11,7 +12,14 @@
 from burdockledge.hashing import rank
 from burdockledge.kernel import TaskGroupService
 from burdockledge.telemetry import make_logger
-from burdockledge.wire import Note, WireError, decode_note, encode_note
+from burdockledge.wire import (
+    Clearance,
+    CrashSuspect,
+    Note,
+    WireError,
+    decode_note,
+    encode_note,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -25,6 +33,10 @@
 _RETRY_SECONDS: Final = 1.0
 # How often a host looks for blocks that it has to write while there are any.
 _CHECK_SECONDS: Final = 1.0
+# How far the wall clocks of two hosts may be apart. Kept evidence is taken for
+# that much younger than it seems, so that no clearance from before it voids it.
+_MAX_CLOCK_ERROR_SECONDS: Final = 5.0
+_MS_PER_SECOND: Final = 1000
 
 
 class EvidenceKeeper(TaskGroupService):
@@ -32,8 +44,9 @@
     Reads the kept evidence at the start, and writes that of new blocks.
 
     One host writes each block; if it fails before, the next one does, so a
-    block may be written more than once. ``list_hosts`` returns the names of
-    the hosts that share the writes.
+    block may be written more than once. A record tells when it was written, so
+    that a release of its part holds after a restart. ``list_hosts`` returns
+    the names of the hosts that share the writes.
     """
 
     name = 'evidence-keeper'
@@ -86,12 +99,30 @@
             except (ValueError, WireError) as error:
                 _log.warning('Kept evidence is left out.', why=str(error))
                 continue
-            self._kept.add(part)
-            self._quarantine.merge(
-                note.suspects, note.clearances, self._clock.monotonic()
-            )
+            self._restore(note)
+            # A record without a time, of a former version, is written again.
+            is_dated = note.written_at_ms is not None
+            if is_dated or part not in self._quarantine.blocked:
+                self._kept.add(part)
         return True
 
+    def _restore(self, note: Note) -> None:
+        elapsed_ms = self._elapsed_ms(note)
+        self._quarantine.restore(
+            [_aged_suspect(one, elapsed_ms) for one in note.suspects],
+            [_aged_clearance(one, elapsed_ms) for one in note.clearances],
+            self._clock.monotonic(),
+        )
+
+    def _elapsed_ms(self, note: Note) -> int:
+        """Return the time since a note was written, rather too short."""
+        if note.written_at_ms is None:
+            return 0
+        elapsed_ms = self._clock.wall_ms() - note.written_at_ms
+        return max(
+            0, elapsed_ms - int(_MAX_CLOCK_ERROR_SECONDS * _MS_PER_SECOND)
+        )
+
     async def _write(self, part: int, *, is_blocked: bool) -> None:
         content = self._encode(part) if is_blocked else None
         if not await self._source.write_kept(str(part), content):
@@ -109,6 +140,7 @@
             Note(
                 self._own_host,
                 suspects=[one for one in suspects if part in one.parts],
+                written_at_ms=self._clock.wall_ms(),
             )
         )
 
@@ -116,4 +148,12 @@
         await asyncio.sleep(_RETRY_SECONDS * (1 + self._random.random()))
 
 
+def _aged_suspect(suspect: CrashSuspect, elapsed_ms: int) -> CrashSuspect:
+    return replace(suspect, age_ms=suspect.age_ms + elapsed_ms)
+
+
+def _aged_clearance(clearance: Clearance, elapsed_ms: int) -> Clearance:
+    return replace(clearance, age_ms=clearance.age_ms + elapsed_ms)
+
+
 __all__ = ('EvidenceKeeper',)
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -173,7 +173,8 @@
     evidence on crashes; ``evidence_digest`` asks for that of the receiver
     unless it is the same, a negative one asks for none. ``limited_calls``
     names the server of each call to one that names a limit; it is sent to
-    every host directly.
+    every host directly. ``written_at_ms`` is the sender's wall clock in a note
+    that is kept in the store.
     """
 
     host: str
@@ -188,6 +189,7 @@
     clearances: list[Clearance] = field(default_factory=list)
     evidence_digest: int | None = None
     limited_calls: list[int] = field(default_factory=list)
+    written_at_ms: int | None = None
 
     @property
     def has_call_events(self) -> bool:
@@ -222,6 +224,7 @@
             clearances=build_struct_list(ttypes.Clearance, note.clearances),
             evidence_digest=note.evidence_digest,
             limited_calls=note.limited_calls or None,
+            written_at_ms=note.written_at_ms,
         ),
     )
 
@@ -250,6 +253,7 @@
         clearances=build_message_list(Clearance, raw.clearances),
         evidence_digest=raw.evidence_digest,
         limited_calls=list(raw.limited_calls or ()),
+        written_at_ms=raw.written_at_ms,
     )
 
 
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -212,4 +212,6 @@
   11: optional i64 evidence_digest,
   // Servers that name a limit, one entry for each call sent to them.
   12: optional list<i64> limited_calls,
+  // Milliseconds since the Unix epoch; only in notes that are kept in the store.
+  13: optional i64 written_at_ms,
 }
--- a/tests/replication/test_evidence_keeper.py
+++ b/tests/replication/test_evidence_keeper.py
@@ -11,7 +11,13 @@
 from burdockledge.clock import VirtualClock, VirtualTimeLoop
 from burdockledge.quarantine import Quarantine, part_key
 from burdockledge.replication import EvidenceKeeper
-from burdockledge.wire import CrashSuspect
+from burdockledge.wire import (
+    Clearance,
+    CrashSuspect,
+    Note,
+    decode_note,
+    encode_note,
+)
 from tests.replication.hosts import FakeStore, FakeStoreClient
 
 BAD = part_key('model', 0xBAD)
@@ -26,6 +32,8 @@
         self.store = FakeStore()
         self.quarantines: dict[str, Quarantine] = {}
         self.keepers: dict[str, EvidenceKeeper] = {}
+        # The error of the wall clocks from the next start on.
+        self.clock_error_ms = 0
         self._loop = loop
         self._names = names
 
@@ -33,9 +41,11 @@
         """Start hosts without memory."""
         for name in self._names:
             quarantine = Quarantine()
+            clock = VirtualClock(self._loop)
+            clock.jump(self.clock_error_ms)
             keeper = EvidenceKeeper(
                 name, FakeStoreClient(self.store, name), quarantine,
-                VirtualClock(self._loop), Random(name),
+                clock, Random(name),
             )  # fmt: skip
             keeper.list_hosts = lambda: list(self.keepers)
             self.quarantines[name] = quarantine
@@ -135,6 +145,81 @@
     run_hosts(scenario)
 
 
+@pytest.mark.parametrize('clock_error_ms', [-5000, -1000, 0, 1000, 5000])
+@pytest.mark.parametrize('release_seconds', [-3, -1, 20, 600])
+def test_a_release_holds_after_a_restart_if_it_came_after_the_crashes(
+    release_seconds: int, clock_error_ms: int
+) -> None:
+    """Guards against kept evidence that is as young or old as a clock says."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(10)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(CRASHES, [], loop.time())
+        # The crashes were one and two seconds ago; one host learns of the
+        # release, after they were written.
+        crashed_at = loop.time() - (1 if release_seconds > 0 else 2)
+        released_at = crashed_at + release_seconds
+        await asyncio.sleep(2)
+        hosts.store.is_down = True
+        await asyncio.sleep(max(0, released_at - loop.time()))
+        released_ms = int(1000 * (loop.time() - released_at))
+        running = hosts.quarantines['h1']
+        running.merge([], [Clearance(5, BAD, released_ms)], loop.time())
+        await asyncio.sleep(60)
+        await hosts.stop()
+        hosts.store.is_down = False
+        hosts.clock_error_ms = clock_error_ms
+        await hosts.start()
+        await asyncio.sleep(0.1)
+        restarted = hosts.quarantines['h2']
+        assert set(restarted.blocked) == {BAD}
+        for one, other in ((restarted, running), (running, restarted)):
+            one.merge(*other.entries(loop.time()), loop.time())
+        is_blocked = release_seconds < 0
+        assert set(running.blocked) == set(restarted.blocked)
+        assert bool(restarted.blocked) is is_blocked
+
+    run_hosts(scenario)
+
+
+@pytest.mark.parametrize('age_seconds', [60, 1000, 100_000])
+def test_a_block_outlives_a_restart_however_old_it_is(
+    age_seconds: float,
+) -> None:
+    """Guards against a block that expires as its evidence tells its age."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        await asyncio.sleep(1)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(CRASHES, [], 1)
+        await asyncio.sleep(age_seconds)
+        await hosts.stop()
+        await hosts.start()
+        await asyncio.sleep(2.1)
+        for quarantine in hosts.quarantines.values():
+            assert set(quarantine.blocked) == {BAD}
+        assert set(hosts.store.kept) == {str(BAD)}
+
+    run_hosts(scenario)
+
+
+def test_a_record_of_a_former_version_is_written_again_with_its_time() -> None:
+    """Guards against records that each restart makes young again."""
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        hosts.store.kept[str(BAD)] = encode_note(Note('h1', suspects=CRASHES))
+        await hosts.stop()
+        await hosts.start()
+        await asyncio.sleep(3)
+        (content,) = hosts.store.kept.values()
+        assert decode_note(content).written_at_ms
+        assert hosts.store.kept_writes == 1
+
+    run_hosts(scenario)
+
+
 @pytest.mark.parametrize(
     ('key', 'content'), [(str(BAD), b'\xff'), ('other', b'{}')]
 )
--- a/tests/wire/test_notes.py
+++ b/tests/wire/test_notes.py
@@ -45,6 +45,7 @@
         clearances=[Clearance(1, 2**62, 5)],
         evidence_digest=2**62,
         limited_calls=[2**32 - 1],
+        written_at_ms=2**41,
     )
 
 
