Keep the clearances of parts beside the evidence against one

Callers of a sound part would get 503 after a restart, and those of the part that crashes servers be let through: the block moves to a deeper part of the same prompts, whose answers had cleared it.

Cause: a kept record holds the suspect calls with all their parts, but not what cleared these, so that a host which loads it blames them.

Change: the record holds the clearances of the parts that its calls have. What remains: that a part was ever answered is not kept, only that it was cleared.

--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -135,11 +135,14 @@
         _log.info('Kept evidence is written.', part=part, blocked=is_blocked)
 
     def _encode(self, part: int) -> bytes:
-        suspects, _ = self._quarantine.entries(self._clock.monotonic())
+        suspects, clearances = self._quarantine.entries(self._clock.monotonic())
+        own_suspects = [one for one in suspects if part in one.parts]
+        parts = {one for suspect in own_suspects for one in suspect.parts}
         return encode_note(
             Note(
                 self._own_host,
-                suspects=[one for one in suspects if part in one.parts],
+                suspects=own_suspects,
+                clearances=[one for one in clearances if one.subject in parts],
                 written_at_ms=self._clock.wall_ms(),
             )
         )
--- a/tests/replication/test_evidence_keeper.py
+++ b/tests/replication/test_evidence_keeper.py
@@ -205,6 +205,28 @@
     run_hosts(scenario)
 
 
+def test_a_restart_does_not_blame_a_part_that_was_answered() -> None:
+    """Guards against a block that moves to another part of its prompts."""
+    sound = part_key('model', 0x50D)
+    crashes = [
+        CrashSuspect(n, n, [BAD, sound], True, 200, 1000 * n) for n in (1, 2)
+    ]
+
+    async def scenario(hosts: KeepingHosts) -> None:
+        await asyncio.sleep(1)
+        for quarantine in hosts.quarantines.values():
+            quarantine.merge(crashes, [Clearance(7, sound, 0)], 1)
+            assert set(quarantine.blocked) == {BAD}
+        await asyncio.sleep(60)
+        await hosts.stop()
+        await hosts.start()
+        await asyncio.sleep(0.1)
+        for quarantine in hosts.quarantines.values():
+            assert set(quarantine.blocked) == {BAD}
+
+    run_hosts(scenario)
+
+
 def test_a_record_of_a_former_version_is_written_again_with_its_time() -> None:
     """Guards against records that each restart makes young again."""
 
