--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -249,6 +249,7 @@
                 params=query,
                 data=body,
                 timeout=client_timeout,
+                allow_redirects=False,
             ) as response:
                 return _Answer(
                     response.status,
