Measure what the news of other hosts' calls costs a host

`burdockledge bench news` records in virtual time the datagrams that one of 9, 71 and 195 hosts gets, plays them to that host alone, and takes its processor time by what it is for: authenticating, decoding, applying, the rest of receiving, placement, own answers, timers. `make bench-capacity` runs it last and adds the table to docs/CAPACITY.md. HTTP is not part of it.

--- a/scripts/bench_capacity.sh
+++ b/scripts/bench_capacity.sh
@@ -81,3 +81,5 @@
 burdockledge bench capacity --hosts="$run/hosts.jsonl" --load="$run/load.jsonl" \
   --data="$root/docs/data/capacity.json" --page="$root/docs/CAPACITY.md" \
   --plot="$root/docs/data/capacity.png"
+burdockledge bench news \
+  --data="$root/docs/data/capacity.json" --page="$root/docs/CAPACITY.md"
--- a/src/burdockledge/bench/__init__.py
+++ b/src/burdockledge/bench/__init__.py
@@ -3,7 +3,8 @@
 
 They measure how processor time, memory and bytes grow with the load,
 extrapolate that to a large fleet, compare placement policies in virtual
-time, and compare the check of servers with a placement.
+time, compare the check of servers with a placement, and show what the news of
+other hosts' calls costs a host.
 """
 
 from __future__ import annotations
@@ -24,6 +25,12 @@
     measure_gate,
     render_gate,
 )
+from burdockledge.bench._news import (
+    HOST_COUNTS,
+    NewsCosts,
+    measure_news,
+    render_news,
+)
 from burdockledge.bench._policy_page import (
     load_runs,
     plot_policy,
@@ -46,6 +53,10 @@
     'GateCosts',
     'measure_gate',
     'render_gate',
+    'HOST_COUNTS',
+    'NewsCosts',
+    'measure_news',
+    'render_news',
     'SCENARIOS',
     'SIZES',
     'run_policies',
--- a/src/burdockledge/bench/_capacity_page.py
+++ b/src/burdockledge/bench/_capacity_page.py
@@ -13,10 +13,19 @@
     sum_built_roles,
 )
 from burdockledge.bench._host_tables import render_host_tables
+from burdockledge.bench._news import render_news
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+_NEWS_HEAD: Final = """\
+## What the news of calls costs a host
+
+Of `burdockledge host`, by `burdockledge bench news`: processor time of one
+host, by what it is spent on, as all hosts place as many calls a second, 340 at
+71 hosts. The datagrams that it gets are recorded in virtual time and played to
+it alone; HTTP is not part of it.
+"""
 _MB: Final = 1_000_000
 _KB: Final = 1000
 _US_PER_MS: Final = 1000
@@ -118,12 +127,19 @@
         '\n'.join(_line_table(capacity)),
         '',
         '![measured lines](data/capacity.png)\n',
+        _render_news_section(capacity),
         render_host_tables(),
         _render_tail(capacity),
     )
     return '\n'.join(parts)
 
 
+def _render_news_section(capacity: CapacityData) -> str:
+    if not capacity.news:
+        return ''
+    return f'{_NEWS_HEAD}\n{render_news(capacity.news)}\n'
+
+
 def _budget_verdict(core: float, memory: float, sent_bytes: float) -> str:
     exceeded = [
         name
--- a/src/burdockledge/bench/_estimate.py
+++ b/src/burdockledge/bench/_estimate.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from burdockledge.bench._fit import LinearFit
+from burdockledge.bench._news import NewsCosts
 
 _US_PER_SECOND: Final = 1_000_000
 _SECONDS_PER_DAY: Final = 86_400
@@ -56,13 +57,15 @@
     The recorded measurements.
 
     ``calibration_us`` is the processor time of the calibration loop in
-    microseconds; ``lines`` are the fitted lines by name.
+    microseconds; ``lines`` are the fitted lines by name; ``news`` is what a
+    host spends among growing numbers of hosts.
     """
 
     model_config = ConfigDict(frozen=True)
 
     calibration_us: float
     lines: dict[str, LinearFit]
+    news: tuple[NewsCosts, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/cli/_registry.py
+++ b/src/burdockledge/cli/_registry.py
@@ -47,6 +47,7 @@
     _entry('bench policy', '_bench_policy', 'BenchPolicy'),
     _entry('bench policy-page', '_bench_policy', 'BenchPolicyPage'),
     _entry('bench gate', '_bench_gate', 'BenchGate'),
+    _entry('bench news', '_bench_news', 'BenchNews'),
     _entry('bench results', '_bench_results', 'BenchResults'),
     _entry('standin engine', '_stand_in', 'StandInEngine'),
     _entry('standin service', '_stand_in', 'StandInService'),
