Forward the notes of other groups as they came

A note of another group was decoded, and encoded again to be forwarded to the own group. What a later version adds to its events was lost on the way.

The bytes of the datagram are forwarded now; only a note that came in fragments is encoded again. Notes without records of streams skip what concerns these.

--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -28,6 +28,7 @@
     StreamUpdate,
     WireError,
     decode_note,
+    encode_note,
     encode_note_datagrams,
 )
 
@@ -245,9 +246,11 @@
             _log.warning('Note fails authentication.', source=source)
             return
         try:
-            note = self._assemble(decode_note(encoded), source)
+            received = decode_note(encoded)
+            note = self._assemble(received, source)
             if note is not None:
-                self._handle_note(note, source)
+                is_whole = note is received
+                self._handle_note(note, source, encoded if is_whole else None)
         except WireError as error:
             self.left_out_notes[NoteRejection.encoding] += 1
             _log.warning('Note can not be decoded.', why=str(error))
@@ -263,16 +266,14 @@
         )
         return assembled
 
-    def _handle_note(self, note: Note, source: str) -> None:
-        self._note_positions(note)
-        for update in note.updates:
-            if update.stream in self._states:
-                self._merge(update, source)
-        self._forward_updates(note)
-        if note.pulls:
-            self._answer_pulls(note.pulls, source)
+    def _handle_note(
+        self, note: Note, source: str, encoded: bytes | None = None
+    ) -> None:
+        """Use a note; ``encoded`` is None if it came in fragments."""
+        if note.updates or note.pulls:
+            self._handle_streams(note, source)
         if note.has_call_events:
-            self.call_events.forward(note)
+            self.call_events.forward(note.host, encoded or encode_note(note))
         if note.has_evidence or note.evidence_digest is not None:
             self._handle_evidence(note, source)
         if self.on_call_events is None:
@@ -280,6 +281,15 @@
         for event_note in (note, *map(decode_note, note.passed)):
             self.on_call_events(event_note)
 
+    def _handle_streams(self, note: Note, source: str) -> None:
+        self._note_positions(note)
+        for update in note.updates:
+            if update.stream in self._states:
+                self._merge(update, source)
+        self._forward_updates(note)
+        if note.pulls:
+            self._answer_pulls(note.pulls, source)
+
     def _note_positions(self, note: Note) -> None:
         """Note how far the streams of the sender of a note have come."""
         now = self._clock.monotonic()
