--- a/src/burdockledge/scheduling/_health.py
+++ b/src/burdockledge/scheduling/_health.py
@@ -128,6 +128,8 @@
 
 
 def _decay(server: _ServerHealth, now: float) -> None:
+    if now == server.decayed_at:
+        return
     factor = 0.5 ** (max(0.0, now - server.decayed_at) / _HALF_LIFE_SECONDS)
     server.successes *= factor
     server.failures *= factor
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -231,7 +231,8 @@
         ahead_tokens = 0
         largest_tokens = 0
         for pending in self._pending.values():
-            largest_tokens = max(largest_tokens, pending.tokens)
+            if pending.tokens > largest_tokens:
+                largest_tokens = pending.tokens
             if urgency is None or pending.urgency <= urgency:
                 ahead_tokens += pending.tokens
         # Servers don't report how far they are with the prompt in prefill.
@@ -275,6 +276,8 @@
         )
 
     def _decay_recent(self, now: float) -> None:
+        if now == self._recent_at:
+            return
         factor = math.exp(
             -max(0.0, now - self._recent_at) / _PREFILL_SHARE_SECONDS
         )
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -16,8 +16,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final
+from dataclasses import dataclass
+from operator import itemgetter
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from burdockledge.scheduling._load import urgency_weight
 
@@ -88,27 +89,26 @@
     cache_source: ServerInstance | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _Candidate:
-    """A server that may get the call."""
+class _Server(NamedTuple):
+    """A server, and the tokens of the prompt that it caches or prefills."""
 
     instance: ServerInstance
     load: ServerLoad
-    running_calls: int
-    is_limited: bool = False
+    cached_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class _PrefillEstimate:
-    """What a server would have to prefill, and its cost in seconds."""
+class _Offer(NamedTuple):
+    """A server that may get the call, at a cost without predicted loss."""
 
+    cost_seconds: float
+    instance: ServerInstance
+    load: ServerLoad
     prefill_tokens: int
-    seconds: float
-    cache_source: ServerInstance | None = None
+    running_calls: int
+    cache_source: ServerInstance | None
 
 
-@dataclass(frozen=True, slots=True)
-class _CacheHolder:
+class _CacheHolder(NamedTuple):
     """A server that has prefilled the first ``tokens`` of the prompt."""
 
     instance: ServerInstance
@@ -146,236 +146,233 @@
             second. They are left to the calls that gain most there, and no
             parts are fetched from their caches.
         """
+        is_paused = self._health.is_paused
         healthy = [
             instance
             for instance in instances
-            if not self._health.is_paused(instance.instance_id, now)
+            if not is_paused(instance.instance_id, now)
         ]
-        loads = (
-            (instance, self._loads.load_of(instance.instance_id))
-            for instance in healthy or instances
-        )
-        candidates = [
-            _Candidate(
-                instance,
-                load,
-                load.running_calls(now),
-                instance.instance_id in limited_instance_ids,
+        prompt = request.prompt
+        servers: list[_Server] = []
+        for instance in healthy or instances:
+            load = self._loads.load_of(instance.instance_id)
+            cached_tokens = load.cache.cached_tokens(prompt)
+            servers.append(_Server(instance, load, cached_tokens))
+        comparison = _Comparison(request, now, limited_instance_ids)
+        if healthy:
+            comparison.find_cache_holder(servers)
+        random = self._random.random
+        failure_rate = self._health.failure_rate
+        offers = [
+            comparison.offer(
+                server,
+                # The same as ``uniform``, without its call.
+                _TIE_BREAK_SECONDS * random(),
+                failure_rate(server.instance.instance_id, now),
             )
-            for instance, load in loads
+            for server in servers
         ]
-        holder = _best_cache_holder(candidates, request) if healthy else None
-        costs = sorted(
-            (
-                (self._cost(candidate, request, now, holder), candidate)
-                for candidate in candidates
-            ),
-            key=lambda cost: cost[0].cost_seconds,
-        )
-        usual_share = _mean_prefill_share(candidates, request, now)
-        best: PlacementChoice | None = None
-        for choice, candidate in costs:
-            # The loss is never negative, so no later server can be better.
-            if best is not None and choice.cost_seconds >= best.cost_seconds:
-                break
-            loss = _predicted_loss(
-                candidate, request, now, usual_share, choice.prefill_tokens
-            )
-            cost_seconds = choice.cost_seconds + _MISS_COST_SECONDS * loss
-            if best is None or cost_seconds < best.cost_seconds:
-                best = replace(choice, cost_seconds=cost_seconds)
-        return best
+        usual_share = _mean_prefill_share(servers, request, now)
+        offers.sort(key=itemgetter(0))
+        return comparison.best_of(offers, usual_share)
+
 
-    def _cost(
+class _Comparison:
+    """Compares servers for one call at one time."""
+
+    def __init__(
         self,
-        candidate: _Candidate,
         request: PlacementRequest,
         now: float,
-        holder: _CacheHolder | None,
-    ) -> PlacementChoice:
+        limited_instance_ids: Collection[str],
+    ) -> None:
+        self._request = request
+        self._now = now
+        self._limited_instance_ids = limited_instance_ids
+        self._prompt_tokens = _prompt_tokens(request.prompt)
+        self._holder: _CacheHolder | None = None
+
+    def find_cache_holder(self, servers: list[_Server]) -> None:
+        """Find the server that has prefilled the most of the prompt."""
+        prompt = self._request.prompt
+        most_tokens = 0
+        for instance, load, cached_tokens in servers:
+            # What is prefilled is cached, so most servers are passed here.
+            if cached_tokens <= most_tokens:
+                continue
+            tokens = load.cache.prefilled_tokens(prompt)
+            if (
+                tokens > most_tokens
+                and instance.instance_id not in self._limited_instance_ids
+            ):
+                most_tokens = tokens
+                self._holder = _CacheHolder(instance, tokens)
+
+    def offer(
+        self, server: _Server, tie_break_seconds: float, failure_rate: float
+    ) -> _Offer:
         """Return the cost of a server without the predicted loss."""
-        instance = candidate.instance
-        seconds = self._random.uniform(0, _TIE_BREAK_SECONDS)
+        instance, load, cached = server
+        request = self._request
+        seconds = tie_break_seconds
         if instance.data_centre != request.data_centre:
             seconds += _CROSS_DATA_CENTRE_SECONDS
-        seconds += _FAILURE_COST_SECONDS * self._health.failure_rate(
-            instance.instance_id, now
-        )
-        if candidate.is_limited:
+        seconds += _FAILURE_COST_SECONDS * failure_rate
+        if instance.instance_id in self._limited_instance_ids:
             seconds += _LIMITED_COST_SECONDS * request.urgency
-        running_calls = candidate.running_calls
+        running_calls = load.running_calls(self._now)
         if not request.prompt.parts:
             seconds += (
                 _FULL_SLOTS_COST_SECONDS
                 * running_calls
                 / max(1, instance.slots)
             )
-            return PlacementChoice(instance, seconds, 0, running_calls)
-        prefill = _estimate_prefill(candidate, request, holder)
-        load = candidate.load
-        seconds += prefill.seconds
-        seconds += load.backlog_seconds(request.urgency, now)
+            return _Offer(seconds, instance, load, 0, running_calls, None)
+        uncached = max(0, self._prompt_tokens - cached)
+        fetched = self._fetched_tokens(instance, cached, uncached)
+        uncached -= fetched
+        weighted = uncached + _FETCH_COST_RATIO * fetched
+        seconds += _PREFILL_WEIGHT * weighted / load.prefill_tokens_per_second
+        seconds += load.backlog_seconds(request.urgency, self._now)
         seconds += (
             _BATCH_EVENTS * load.timing.pause_seconds_per_call * running_calls
         )
+        source = self._holder.instance if self._holder and fetched else None
+        return _Offer(seconds, instance, load, uncached, running_calls, source)
+
+    def best_of(
+        self, offers: list[_Offer], usual_share: float
+    ) -> PlacementChoice | None:
+        """Return the lowest cost with the predicted loss, of sorted offers."""
+        best: _Offer | None = None
+        least_seconds = 0.0
+        for offer in offers:
+            # The loss is never negative, so no later server can be better.
+            if best is not None and offer.cost_seconds >= least_seconds:
+                break
+            loss = self._own_loss(offer, usual_share)
+            seconds = offer.cost_seconds + _MISS_COST_SECONDS * loss
+            if best is None or seconds < least_seconds:
+                loss += self._loss_of_others(offer)
+                seconds = offer.cost_seconds + _MISS_COST_SECONDS * loss
+            if best is None or seconds < least_seconds:
+                best = offer
+                least_seconds = seconds
+        if best is None:
+            return None
         return PlacementChoice(
-            instance,
-            seconds,
-            prefill.prefill_tokens,
-            running_calls,
-            prefill.cache_source,
+            best.instance,
+            least_seconds,
+            best.prefill_tokens,
+            best.running_calls,
+            best.cache_source,
         )
 
-
-def _estimate_prefill(
-    candidate: _Candidate,
-    request: PlacementRequest,
-    holder: _CacheHolder | None,
-) -> _PrefillEstimate:
-    load = candidate.load
-    cached = load.cache.cached_tokens(request.prompt)
-    uncached = max(0, _prompt_tokens(request.prompt) - cached)
-    fetched = 0
-    if (
-        holder is not None
-        and holder.instance.instance_id != candidate.instance.instance_id
-    ):
+    def _fetched_tokens(
+        self, instance: ServerInstance, cached: int, uncached: int
+    ) -> int:
+        """Return the tokens that a server would fetch from the holder."""
+        holder = self._holder
+        if (
+            holder is None
+            or holder.instance.instance_id == instance.instance_id
+        ):
+            return 0
         fetched = min(uncached, holder.tokens - cached)
-    if fetched < _MIN_FETCH_TOKENS:
-        return _PrefillEstimate(
-            uncached,
-            _PREFILL_WEIGHT * uncached / load.prefill_tokens_per_second,
-        )
-    uncached -= fetched
-    weighted = uncached + _FETCH_COST_RATIO * fetched
-    return _PrefillEstimate(
-        uncached,
-        _PREFILL_WEIGHT * weighted / load.prefill_tokens_per_second,
-        None if holder is None else holder.instance,
-    )
+        return fetched if fetched >= _MIN_FETCH_TOKENS else 0
 
+    def _own_loss(self, offer: _Offer, usual_share: float) -> float:
+        """
+        Return the weighted chance that the call's stream misses its target.
 
-def _mean_prefill_share(
-    candidates: list[_Candidate], request: PlacementRequest, now: float
-) -> float:
-    if request.pause_target_seconds is None or not candidates:
-        return 0.0
-    shares = [candidate.load.prefill_share(now) for candidate in candidates]
-    return sum(shares) / len(shares)
-
+        Prompts that arrive while it runs are forecast from the recent ones.
+        Long prompts keep away from engines with streams like it, but an engine
+        without them will get at least the usual share, even if it is idle now.
+        So such streams gather at few engines.
+        """
+        request = self._request
+        target_seconds = request.pause_target_seconds
+        if target_seconds is None or not request.prompt.parts:
+            return 0.0
+        load = offer.load
+        timing = load.timing
+        pause_seconds = load.pause_seconds(offer.running_calls + 1)
+        prefill_share = load.prefill_share(self._now)
+        if all(other > target_seconds for other in load.stream_weights):
+            prefill_share = max(prefill_share, usual_share)
+        miss_rate = (1 - prefill_share) * timing.miss_rate(
+            pause_seconds, target_seconds
+        ) + prefill_share * timing.miss_rate(
+            _usual_prefill_pause(load, pause_seconds, prefill_share),
+            target_seconds,
+        )
+        events = timing.expected_events(request.prompt.max_output_tokens)
+        return urgency_weight(request.urgency) * (
+            1 - math.exp(-events * miss_rate)
+        )
 
-def _predicted_loss(
-    candidate: _Candidate,
-    request: PlacementRequest,
-    now: float,
-    usual_share: float,
-    prefill_tokens: int,
-) -> float:
-    """Return the weighted misses of pause targets that a choice adds."""
-    if not request.prompt.parts:
-        return 0.0
-    return _own_loss(candidate, request, now, usual_share) + _loss_of_others(
-        candidate, prefill_tokens, now
-    )
+    def _loss_of_others(self, offer: _Offer) -> float:
+        """
+        Return what a prefill adds to the weighted misses of running streams.
 
+        Streams that the prompts there make miss their target anyway don't
+        count, so that at peak load prompts go where their cached parts are.
+        """
+        load = offer.load
+        if not load.stream_weights or not offer.prefill_tokens:
+            return 0.0
+        timing = load.timing
+        pause_seconds = load.pause_seconds(offer.running_calls)
+        prefill_share = load.prefill_share(self._now)
+        prefill_seconds = offer.prefill_tokens / load.prefill_tokens_per_second
+        prefill_pause_seconds = pause_seconds + min(
+            timing.prefill_pause_seconds, prefill_seconds
+        )
+        usual_pause_seconds = _usual_prefill_pause(
+            load, pause_seconds, prefill_share
+        )
+        # A prompt lengthens one pause at least, the last one in part.
+        pauses = 1 + prefill_seconds / prefill_pause_seconds
+        loss = 0.0
+        for target_seconds, weight in load.stream_weights.items():
+            rate = timing.miss_rate(pause_seconds, target_seconds)
+            added_rate = (
+                timing.miss_rate(prefill_pause_seconds, target_seconds) - rate
+            )
+            usual_rate = (
+                1 - prefill_share
+            ) * rate + prefill_share * timing.miss_rate(
+                usual_pause_seconds, target_seconds
+            )
+            usual_misses = load.expected_events(target_seconds) * usual_rate
+            loss += (
+                weight * min(1.0, pauses * added_rate) * math.exp(-usual_misses)
+            )
+        return loss
 
-def _own_loss(
-    candidate: _Candidate,
-    request: PlacementRequest,
-    now: float,
-    usual_share: float,
-) -> float:
-    """
-    Return the weighted chance that the call's stream misses its pause target.
 
-    Prompts that arrive while it runs are forecast from the recent ones. Long
-    prompts keep away from engines with streams like it, but an engine without
-    them will get at least the usual share, even if it is idle now. So such
-    streams gather at few engines.
-    """
-    target_seconds = request.pause_target_seconds
-    if target_seconds is None:
-        return 0.0
-    load = candidate.load
-    timing = load.timing
-    pause_seconds = load.pause_seconds(candidate.running_calls + 1)
-    prefill_share = load.prefill_share(now)
-    if all(other > target_seconds for other in load.stream_weights):
-        prefill_share = max(prefill_share, usual_share)
-    miss_rate = _miss_rate(load, pause_seconds, prefill_share, target_seconds)
-    events = timing.expected_events(request.prompt.max_output_tokens)
-    return urgency_weight(request.urgency) * (1 - math.exp(-events * miss_rate))
-
-
-def _miss_rate(
-    load: ServerLoad,
-    pause_seconds: float,
-    prefill_share: float,
-    target_seconds: float,
+def _usual_prefill_pause(
+    load: ServerLoad, pause_seconds: float, prefill_share: float
 ) -> float:
-    """Return the share of a stream's pauses that will exceed its target."""
-    timing = load.timing
+    """Return a stream's pause while recent prompts are in prefill."""
     prompt_seconds = (
         load.recent_prompt_tokens() / load.prefill_tokens_per_second
     )
     # The more of the time prefill takes, the more prompts follow each other
     # without a gap.
-    prefill_pause_seconds = pause_seconds + min(
-        timing.prefill_pause_seconds, prompt_seconds / (1 - prefill_share)
+    return pause_seconds + min(
+        load.timing.prefill_pause_seconds,
+        prompt_seconds / (1 - prefill_share),
     )
-    return (1 - prefill_share) * timing.miss_rate(
-        pause_seconds, target_seconds
-    ) + prefill_share * timing.miss_rate(prefill_pause_seconds, target_seconds)
 
 
-def _loss_of_others(
-    candidate: _Candidate, prefill_tokens: int, now: float
+def _mean_prefill_share(
+    servers: list[_Server], request: PlacementRequest, now: float
 ) -> float:
-    """
-    Return what a prefill adds to the weighted misses of running streams.
-
-    Streams that the prompts there make miss their target anyway don't count,
-    so that at peak load prompts go where their cached parts are.
-    """
-    load = candidate.load
-    if not load.stream_weights or not prefill_tokens:
+    if request.pause_target_seconds is None or not servers:
         return 0.0
-    timing = load.timing
-    pause_seconds = load.pause_seconds(candidate.running_calls)
-    prefill_share = load.prefill_share(now)
-    prefill_seconds = prefill_tokens / load.prefill_tokens_per_second
-    prefill_pause_seconds = pause_seconds + min(
-        timing.prefill_pause_seconds, prefill_seconds
-    )
-    # A prompt lengthens one pause at least, the last one in part.
-    pauses = 1 + prefill_seconds / prefill_pause_seconds
-    loss = 0.0
-    for target_seconds, weight in load.stream_weights.items():
-        added_rate = timing.miss_rate(
-            prefill_pause_seconds, target_seconds
-        ) - timing.miss_rate(pause_seconds, target_seconds)
-        usual_misses = load.expected_events(target_seconds) * _miss_rate(
-            load, pause_seconds, prefill_share, target_seconds
-        )
-        loss += weight * min(1.0, pauses * added_rate) * math.exp(-usual_misses)
-    return loss
-
-
-def _best_cache_holder(
-    candidates: list[_Candidate], request: PlacementRequest
-) -> _CacheHolder | None:
-    if not request.prompt.parts:
-        return None
-    holders = [
-        _CacheHolder(
-            candidate.instance,
-            candidate.load.cache.prefilled_tokens(request.prompt),
-        )
-        for candidate in candidates
-        if not candidate.is_limited
-    ]
-    best = max(holders, key=lambda holder: holder.tokens, default=None)
-    return best if best is not None and best.tokens else None
+    shares = [server.load.prefill_share(now) for server in servers]
+    return sum(shares) / len(shares)
 
 
 def _prompt_tokens(prompt: Prompt) -> int:
