Forget removed servers after a minute

tests/test_host_churn.py found ServerRegistry._removed with 4,096 entries: the memory by which a host recognises servers that had left in a copy of the store was bounded by number only. A copy is some seconds old, so what was removed 60 s ago is forgotten. The test passes, as it was.

--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -24,8 +24,9 @@
 # until they expire: three missed heartbeats of 1.2 s, and the time until a host
 # reads that.
 RESTORE_DOUBT_SECONDS: Final = 5.0
-# The removals that are remembered to recognise entries of servers that left.
-_MAX_REMOVED: Final = 4096
+# For how long a removed server is remembered, to recognise its entry in a copy
+# of the store, which is some seconds old.
+_REMOVED_MEMORY_SECONDS: Final = 60.0
 
 
 class ServerState(enum.Enum):
@@ -74,8 +75,8 @@
         self._last_read_at: float | None = None
         self._grace_until = 0.0
         self._doubt_until = 0.0
-        # The start of each removed server, by its id.
-        self._removed: OrderedDict[str, int] = OrderedDict()
+        # The start of each removed server and when it was removed, by its id.
+        self._removed: OrderedDict[str, tuple[int, float]] = OrderedDict()
 
     def note_restore(self, now: float) -> None:
         """Note that the records are now those of a restored store."""
@@ -95,7 +96,7 @@
         entry = self._entries.get(instance.server_id)
         is_ready = registration.state is ServerState.ready
         if entry is None:
-            removed_start = self._removed.get(instance.server_id, -1)
+            removed_start, _ = self._removed.get(instance.server_id, (-1, now))
             return is_ready and instance.started_ms <= removed_start
         known = entry.registration
         if instance.started_ms != known.instance.started_ms:
@@ -143,7 +144,7 @@
         if now < self._grace_until:
             entry.expires_at = self._grace_until
         else:
-            self._drop(server_id)
+            self._drop(server_id, now)
         return True
 
     def ready_instances(self, service: str, now: float) -> list[ServerInstance]:
@@ -178,16 +179,19 @@
         """Yield the current entries, and drop those that expired."""
         for server_id, entry in tuple(self._entries.items()):
             if entry.expires_at is not None and entry.expires_at < now:
-                self._drop(server_id)
+                self._drop(server_id, now)
                 continue
             yield entry
 
-    def _drop(self, server_id: str) -> None:
+    def _drop(self, server_id: str, now: float) -> None:
         entry = self._entries.pop(server_id)
-        self._removed[server_id] = entry.registration.instance.started_ms
+        started_ms = entry.registration.instance.started_ms
+        self._removed[server_id] = (started_ms, now)
         self._removed.move_to_end(server_id)
-        if len(self._removed) > _MAX_REMOVED:
-            self._removed.popitem(last=False)
+        for removed_id, (_, removed_at) in tuple(self._removed.items()):
+            if removed_at >= now - _REMOVED_MEMORY_SECONDS:
+                break
+            self._removed.pop(removed_id)
 
 
 __all__ = (
