Keep a silent stream unless another server goes on with it

Callers saw their connection close inside a stream whose server was only silent: after 2 s (or four latency targets, or eight pause targets) where the stream could not be resumed, and after 1.5 s (or two pause targets) where it could, even if the retry budget was spent or a suspected part of its prompt kept it from a second server. The host closed at the same gap at which callers leave, but measured it a network delay earlier than they do, so it was the one that closed.

A stalled stream now takes its retry first and leaves its server only if it gets one; else it goes on until the time limit or until its caller leaves. The server still counts as silent from the same moment on.

Open: a stream that left its server with a retry is still cut if no other server can take it.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -130,6 +130,9 @@
             return True
         if served.sends >= _MAX_SENDS:
             return False
+        if served.has_retry:
+            served.has_retry = False
+            return True
         reason = self._reason_not_to_retry(served)
         if reason is None:
             return True
@@ -277,6 +280,7 @@
                     response,
                     held,
                     may_resume=self._has_attempt_left(served),
+                    may_leave=partial(self._may_leave, served),
                 )
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
@@ -322,6 +326,17 @@
             and served.sends < _MAX_SENDS
         )
 
+    def _may_leave(self, served: ServedCall) -> bool:
+        """Take a retry for a stream that stalls, if there is one."""
+        if served.has_retry or not self._has_attempt_left(served):
+            return served.has_retry
+        reason = self._reason_not_to_retry(served)
+        _log.info(
+            'Stream stalls.', request=served.call.request_id, stays_for=reason
+        )
+        served.has_retry = reason is None
+        return served.has_retry
+
     def _log_placement(self, served: ServedCall, placement: Placement) -> None:
         _log.info(
             'Placed.',
--- a/src/burdockledge/relay/_stream_relay.py
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import ResponseProgress
@@ -11,9 +12,10 @@
     IncompleteResponseError,
     StalledResponseError,
 )
+from burdockledge.scheduling import CallResult
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from burdockledge.clock import Clock
     from burdockledge.relay._answer_memory import HeldAnswer
@@ -31,12 +33,63 @@
 _RESUME_STALL_SECONDS: Final = 1.5
 _RESUME_STALL_PAUSE_TARGETS: Final = 2.0
 # Callers give up on a stream after the longest of this gap and these multiples
-# of its route's targets (the platform's pages), so it is cut off then.
+# of its route's targets (the platform's pages).
 _ABANDON_SECONDS: Final = 2.0
 _ABANDON_LATENCY_TARGETS: Final = 4.0
 _ABANDON_PAUSE_TARGETS: Final = 8.0
 
 
+class _StallWatch:
+    """Ends the wait for a chunk if another server goes on with the stream."""
+
+    def __init__(
+        self, stall_seconds: float, on_stall: Callable[[], bool]
+    ) -> None:
+        """
+        Begin with the progress of now.
+
+        :param on_stall: called after each time without progress; returns
+            whether another server goes on.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._stall_seconds = stall_seconds
+        self._on_stall = on_stall
+        self._timer: asyncio.TimerHandle | None = None
+        self._limit: asyncio.Timeout | None = None
+        self.note_progress()
+
+    def note_progress(self) -> None:
+        """Start the time anew."""
+        self._stalls_at = self._loop.time() + self._stall_seconds
+
+    async def next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
+        """
+        Return the next chunk of a response body, None at its end.
+
+        :raises IncompleteResponseError: if the body ends early.
+        :raises StalledResponseError: if it stalls, and another server goes on.
+        """
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._limit = limit
+                self._timer = self._loop.call_at(
+                    self._stalls_at, self._note_stall
+                )
+                return await anext(chunks, None)
+        except TimeoutError as error:
+            raise StalledResponseError from error
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _note_stall(self) -> None:
+        if self._on_stall() and self._limit is not None:
+            self._limit.reschedule(self._loop.time())
+            return
+        self.note_progress()
+        self._timer = self._loop.call_at(self._stalls_at, self._note_stall)
+
+
 class StreamRelay:
     """Relays streams, and learns from their pauses."""
 
@@ -70,24 +123,28 @@
         held: HeldAnswer,
         *,
         may_resume: bool,
+        may_leave: Callable[[], bool],
     ) -> None:
         """
         Relay events as they arrive, each only once it is complete.
 
         Only a complete event counts as progress, so that a server that sends
-        a byte now and then is recognised as stalled.
+        a byte now and then is recognised as stalled. The silence of a server
+        is no reason to end the stream, as long as no other server goes on.
 
-        :param may_resume: whether another server can go on with a stream
-            that stalls.
-        :raises IncompleteResponseError: if the stream stalls or is cut off.
+        :param may_resume: whether another server may be able to go on.
+        :param may_leave: asked when the stream stalls, whether another server
+            goes on with it.
+        :raises IncompleteResponseError: if the stream is left or cut off.
         """
         writes = 0
-        loop = asyncio.get_running_loop()
-        stall_seconds = _stall_timeout_seconds(served, may_resume=may_resume)
+        watch = _StallWatch(
+            _stall_timeout_seconds(served, may_resume=may_resume),
+            partial(_note_stall, outcome, may_leave),
+        )
         chunks = response.chunks()
-        stalls_at = loop.time() + stall_seconds
         while True:
-            chunk = await _next_chunk(chunks, stalls_at)
+            chunk = await watch.next_chunk(chunks)
             if chunk is None:
                 break
             events = served.event_buffer.feed(chunk)
@@ -96,12 +153,13 @@
                 continue
             held.shrink(0)
             outcome.progress = ResponseProgress.content
+            outcome.result = CallResult.abandoned
             if not served.has_response_started:
                 await self._start_stream(served, response)
             self._note_write(served, placement, is_first=not writes)
             writes += 1
             await served.caller.write(events)
-            stalls_at = loop.time() + stall_seconds
+            watch.note_progress()
         await self._finish_stream(served, placement, response, writes)
 
     async def _finish_stream(
@@ -151,6 +209,12 @@
         await served.caller.start_response(response.status, response.headers)
 
 
+def _note_stall(outcome: SendOutcome, may_leave: Callable[[], bool]) -> bool:
+    """Count the server as silent, and return whether to leave it."""
+    outcome.result = CallResult.unreachable
+    return may_leave()
+
+
 def _media_type(response: ServerResponse) -> str | None:
     """Return the media type of a body without its parameters, if it has one."""
     for name, text in response.headers:
@@ -173,21 +237,4 @@
     )
 
 
-async def _next_chunk(
-    chunks: AsyncIterator[bytes], stalls_at: float
-) -> bytes | None:
-    """
-    Return the next chunk of a response body, None at its end.
-
-    :param stalls_at: until when to wait, in seconds of the event loop.
-    :raises IncompleteResponseError: if the body ends early.
-    :raises StalledResponseError: if it stalls.
-    """
-    try:
-        async with asyncio.timeout_at(stalls_at):
-            return await anext(chunks, None)
-    except TimeoutError as error:
-        raise StalledResponseError from error
-
-
 __all__ = ('StreamRelay',)
