Keep a connection whose next request has begun to arrive

Callers saw their connection close without an answer, and without a 408, if they used a kept connection within its idle time, but the head of the request came in two parts and the idle time ended between them: the idle timer looked only at whether a whole request had been read. The limit on heads, which has a timer and an answer of its own, now takes over from the first byte on.

--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -153,6 +153,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _process_keepalive(self) -> None:
+        """Close the connection if it is idle; a head has its own time limit."""
+        if self._header_timer is None:
+            super()._process_keepalive()
+        else:
+            self._keepalive_handle = None
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
