Apply a longer idle time to open connections

Callers saw their connection close without an answer after a configuration with a longer idle time: they use a connection again by the limit in force, but a connection kept the limit of its opening. When its timer fires, a connection now looks at the limit in force, and waits for the rest of a longer one; a shorter one applies to new connections, as before.

tests/platform_adapter/test_idle_connections.py, real sockets: 2 of 2 new cases failed before, none after; test_front passes (44 with these).

--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -154,11 +154,24 @@
             self.transport.abort()
 
     def _process_keepalive(self) -> None:
-        """Close the connection if it is idle; a head has its own time limit."""
-        if self._header_timer is None:
-            super()._process_keepalive()
-        else:
+        """
+        Close the connection if it is idle; a head has its own time limit.
+
+        A limit that has grown meanwhile holds at once: callers know it.
+        """
+        if self._header_timer is not None:
             self._keepalive_handle = None
+            return
+        grown_seconds = (
+            self._server.limits.idle_timeout_seconds - self.keepalive_timeout
+        )
+        closes_at = self._next_keepalive_close_time + max(0.0, grown_seconds)
+        if self._loop.time() < closes_at:
+            self._keepalive_handle = self._loop.call_at(
+                closes_at, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
 
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -151,7 +151,7 @@
         self.shutdown_seconds = _MIN_SHUTDOWN_SECONDS
 
     def apply_limits(self, limits: CallerLimits) -> None:
-        """Apply changed limits, in full only to new connections."""
+        """Apply changed limits; of open connections only a longer idle time."""
         self._caller_server.limits = limits
 
     def apply_settings(self, settings: RelayHostSettings) -> None:
--- a/tests/platform_adapter/test_idle_connections.py
+++ b/tests/platform_adapter/test_idle_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Final
 
 import pytest
@@ -59,3 +60,26 @@
         assert b' 408 ' in await read_to_end(reader)
 
     run_with_front(respond_ok, test)
+
+
+@pytest.mark.parametrize('is_first', [True, False])
+def test_a_longer_idle_time_holds_for_open_connections(is_first: bool) -> None:
+    """Guards against a close under callers that know the newer limit."""
+    longer = replace(LIMITS, idle_timeout_seconds=2 * IDLE_SECONDS)
+
+    async def test(harness: FrontHarness) -> None:
+        harness.front.apply_limits(LIMITS)
+        reader, writer = await connect(harness)
+        if not is_first:
+            writer.write(request_bytes())
+            await reader.readuntil(b'fine')
+        harness.front.apply_limits(longer)
+        await asyncio.sleep(USED_SHARE * longer.idle_timeout_seconds)
+        writer.write(request_bytes())
+        await reader.readuntil(b'fine')
+        idle_since = asyncio.get_running_loop().time()
+        assert await read_to_end(reader) == b''
+        idle_seconds = asyncio.get_running_loop().time() - idle_since
+        assert idle_seconds > USED_SHARE * longer.idle_timeout_seconds
+
+    run_with_front(respond_ok, test)
