Answer a request at once whose body breaks its framing

A request whose chunks broke in a later segment than its head was held until the idle time of its connection was over, and got 408: the parser of the HTTP library gives up without a word to the reader of the body. The connection now fails the body, and the caller gets 400.

tests/platform_adapter/test_cut_calls.py, real sockets: the new case failed before (no answer in 3 s), and passes; test_front and tests/flood/test_endless_requests pass (51 with these).

--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -8,7 +8,7 @@
 
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
@@ -122,6 +122,8 @@
             self._is_broken = bool(self._messages) and not isinstance(
                 self._messages[-1][0], RawRequestMessage
             )
+            if self._is_broken:
+                self._fail_body()
             self._limit_head(len(piece))
         if not self._awaits_request_head:
             self._cancel_header_timer()
@@ -153,6 +155,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _fail_body(self) -> None:
+        """Fail a body that broke: its reader would wait for the idle time."""
+        if not self._last_payload.is_eof():
+            self._last_payload.set_exception(
+                RequestPayloadError('the framing of the body is broken')
+            )
+            self._last_payload.feed_eof()
+
     def _process_keepalive(self) -> None:
         """
         Close the connection if it is idle; a head has its own time limit.
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -7,6 +7,8 @@
 import re
 from typing import TYPE_CHECKING, Final
 
+from aiohttp.web_protocol import RequestPayloadError
+
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
 from burdockledge.platform import _names as names
 from burdockledge.scheduling import ServerNotice
@@ -229,6 +231,8 @@
             return await request.content.readany()
     except TimeoutError as error:
         raise BadCallError(_REQUEST_TIMEOUT, 'the body stopped') from error
+    except RequestPayloadError as error:
+        raise BadCallError(_BAD_REQUEST, 'the body is broken') from error
 
 
 def _end_to_end_headers(
--- a/tests/platform_adapter/test_cut_calls.py
+++ b/tests/platform_adapter/test_cut_calls.py
@@ -159,3 +159,23 @@
         assert not [h for h, _ in harness.server.requests if b'/behind' in h]
 
     run_with_front(handler, test)
+
+
+def test_a_body_that_breaks_later_is_answered_at_once() -> None:
+    """Guards against a request that is held for the idle time."""
+
+    async def test(harness: FrontHarness) -> None:
+        reader, writer = await connect(harness)
+        writer.write(
+            request_bytes('/unsafe/x').replace(
+                b'Content-Length: 0', b'Transfer-Encoding: chunked'
+            )
+        )
+        await asyncio.sleep(0.05)
+        writer.write(b'zz\r\n')
+        response = await read_to_end(reader)
+        assert response.count(b'HTTP/1.') == 1
+        assert response[9:12] == b'400'
+        assert harness.server.requests == []
+
+    run_with_front(respond_ok, test)
