--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import math
+import re
 from typing import TYPE_CHECKING, Final
 
+from aiohttp.web_protocol import RequestPayloadError
+
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
 from burdockledge.platform import _names as names
 from burdockledge.scheduling import ServerNotice
@@ -45,6 +48,8 @@
         'expect',
     )
 )
+# All but the tab, which may separate words.
+_CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 
 class BadCallError(Exception):
@@ -147,11 +152,17 @@
 
 
 def response_headers(raw_headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the response headers to pass on to the caller."""
+    """
+    Return the response headers to pass on to the caller.
+
+    Headers with control characters are left out, as no message may bear them
+    (RFC 9110, section 5.5).
+    """
     return tuple(
         (name, text)
         for name, text in _decode_headers(raw_headers)
         if name.lower() not in _HOP_BY_HOP_HEADERS
+        and not _CONTROL_CHARACTER.search(text)
     )
 
 
@@ -220,6 +231,8 @@
             return await request.content.readany()
     except TimeoutError as error:
         raise BadCallError(_REQUEST_TIMEOUT, 'the body stopped') from error
+    except RequestPayloadError as error:
+        raise BadCallError(_BAD_REQUEST, 'the body is broken') from error
 
 
 def _end_to_end_headers(
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -155,7 +155,11 @@
         self.status = response.status
         self.headers: Headers = response_headers(response.raw_headers)
         self.proves_not_run = _proves_not_run(response.status, response.headers)
-        self.has_seal = bool(response.headers.get(names.SEAL))
+        self.has_seal = any(
+            text
+            for name, text in self.headers
+            if name.lower() == names.SEAL.lower()
+        )
         self.call_rate_limit = call_rate_limit(
             response.headers.getall(names.CALL_RATE_LIMIT, ())
         )
