Play restores of the store in the soak

The store goes away and comes back from a copy 0.5 to 12 s old, once or twice, while a third of the hosts is turned away, restarted or paused, and keys, routes and servers come and go.

The oracle: for versions and leaving servers that a restore took back, the bound counts from when the operator or the server wrote again; hosts are in touch 3 s after the store is back; what a process has heard or shown binds it. Records without a restore are judged as before.

A slow store now waits half before and half after it looks at its records, so that a response may be older than a restore; the sum is the same.

--- a/tests/soak/_access_faults.py
+++ b/tests/soak/_access_faults.py
@@ -45,7 +45,7 @@
         soak_run.spawn(
             _restart_later(host, starts_at + number * gap_seconds, random)
         )
-    changes = asyncio.create_task(_change_forever(soak_run, random))
+    changes = asyncio.create_task(change_forever(soak_run, random))
     await asyncio.sleep(rejects_at)
     admit = soak_run.store.reject(
         [host.name for host in rejected], random.choice(REJECTIONS)
@@ -80,7 +80,8 @@
     await host.restart(random.choice((signal.SIGTERM, signal.SIGKILL)))
 
 
-async def _change_forever(soak_run: SoakRun, random: Random) -> None:
+async def change_forever(soak_run: SoakRun, random: Random) -> None:
+    """Change keys and routes and replace servers, one after another."""
     configuration = soak_run.configuration
     while True:
         change = random.randrange(5)
--- a/tests/soak/_configuration_oracle.py
+++ b/tests/soak/_configuration_oracle.py
@@ -14,6 +14,7 @@
     tolerance_seconds,
 )
 from tests.soak._record import Outcome, Record
+from tests.soak._restores import configured_since, is_store_unstable
 
 # Statuses that allow no conclusion on the configuration of the host.
 _INCONCLUSIVE_STATUSES: Final = frozenset((None, 408, 503))
@@ -145,10 +146,12 @@
 
     :param since: when the store confirmed the version.
     """
+    since = configured_since(record, since, outcome.sent_at)
     seconds = CONFIGURATION_SECONDS + outer_seconds(record, outcome.host, since)
     return (
         outcome.sent_at >= since + seconds + tolerance_seconds(record)
         and not store_was_unavailable(record, since)
+        and not is_store_unstable(record, outcome, since)
         and not host_had_fault(record, outcome)
     )
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -12,6 +12,7 @@
 from tests.soak._notice_faults import NOTICE_FAULTS
 from tests.soak._proxy import LINK_FAULTS, PASS_THROUGH
 from tests.soak._record import Span
+from tests.soak._restore_faults import RESTORE_FAULTS
 from tests.soak._servers import SERVER_FAULTS
 from tests.soak._store import STORE_FAULTS
 
@@ -61,6 +62,16 @@
         )
         if random.random() < ACCESS_FAULT_SHARE or kind in kinds:
             faults.append(fault)
+    random = Random(f'{seed} restores')
+    for kind in RESTORE_FAULTS:
+        fault = Fault(
+            random.uniform(1, 3),
+            kind,
+            seconds - random.uniform(5, 7),
+            random.getrandbits(32),
+        )
+        if kind in kinds:
+            faults.append(fault)
     return sorted(
         (fault for fault in faults if not kinds or fault.kind in kinds),
         key=lambda fault: fault.at,
@@ -206,5 +217,5 @@
     injector.__name__: injector for injector in (set_fatal_part, limit_server)
 }
 INJECTORS: dict[str, Injector] = (
-    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS
+    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS | RESTORE_FAULTS
 )
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -164,6 +164,7 @@
                 )
             self._process = process
             self._started_at = time.monotonic()
+            self._record.starts[process.pid] = self._started_at
             exit_code = await process.wait()
             pid = process.pid
             self._record.ends[pid] = time.monotonic()
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 # Kinds of requests that callers send; stream events are numbered from 1.
@@ -77,6 +78,27 @@
         return began <= self.ended + slack and ended >= self.began - slack
 
 
+@dataclass
+class Restore:
+    """
+    A return of the store from a copy; times in monotonic seconds.
+
+    What it confirmed since ``copied_at`` is gone, and while it was ``away`` it
+    took nothing. The operator's newest configuration was written again at
+    ``configured_at``; ``left_at`` tells when the store said again of a server
+    that it leaves or is gone.
+    """
+
+    copied_at: float
+    away: Span
+    configured_at: float = math.inf
+    left_at: dict[str, float] = field(default_factory=dict)
+
+    def takes_back(self, confirmed_at: float) -> bool:
+        """Return whether what the store confirmed at a time is gone."""
+        return self.copied_at < confirmed_at <= self.away.ended
+
+
 @dataclass
 class Notice:
     """A server's answer that says that it leaves, or that asks for a pause.
@@ -134,12 +156,14 @@
     # Faults of the store for all hosts, and hosts that it turned away.
     store_faults: list[Span] = field(default_factory=list)
     rejections: dict[str, list[Span]] = field(default_factory=dict)
+    restores: list[Restore] = field(default_factory=list)
     link_faults: list[Span] = field(default_factory=list)
     host_faults: dict[str, list[Span]] = field(default_factory=dict)
     # Shutdowns by process id, and processes that were also killed or paused.
     stops: dict[int, Span] = field(default_factory=dict)
     killed: set[int] = field(default_factory=set)
-    # When each process exited.
+    # When each process was started, and when it exited.
+    starts: dict[int, float] = field(default_factory=dict)
     ends: dict[int, float] = field(default_factory=dict)
     ended_alone: list[str] = field(default_factory=list)
     usages: list[Usage] = field(default_factory=list)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -19,14 +19,18 @@
 from tests.soak._hosts import SoakHost
 from tests.soak._oracle import find_violations
 from tests.soak._record import NamedLimit, Record, Span
-from tests.soak._servers import LATE, MISSING, SoakServer
+from tests.soak._servers import (
+    LATE,
+    MISSING,
+    REGISTRATION_LIFETIME_SECONDS,
+    SoakServer,
+)
 from tests.soak._store import SoakStore
 
 _ZONES = ('a', 'b')
 _SERVERS_PER_SERVICE = 3
 _USAGE_INTERVAL_SECONDS = 2.0
 _LAG_SAMPLE_SECONDS = 0.05
-_REGISTRATION_LIFETIME_SECONDS = 3.6
 # A draining server keeps serving a little longer than its drain limit.
 _DRAIN_TO_STOP_SECONDS = 5.0
 _READY_TIMEOUT_SECONDS = 15.0
@@ -168,8 +172,8 @@
         self.servers.remove(server)
         await server.stop(is_crash=True)
         await asyncio.sleep(seconds)
-        if seconds > _REGISTRATION_LIFETIME_SECONDS / 2:
-            await asyncio.sleep(_REGISTRATION_LIFETIME_SECONDS - seconds)
+        if seconds > REGISTRATION_LIFETIME_SECONDS / 2:
+            await asyncio.sleep(REGISTRATION_LIFETIME_SECONDS - seconds)
             server.unregister()
             await self._add_server(server.service)
         else:
--- a/tests/soak/_server_oracle.py
+++ b/tests/soak/_server_oracle.py
@@ -15,6 +15,7 @@
     tolerance_seconds,
 )
 from tests.soak._record import Arrival, Notice, Record
+from tests.soak._restores import left_since
 
 # The users' rule: after the fifth server that ended under a part of prompts,
 # at most three more requests with it.
@@ -42,6 +43,7 @@
             continue
         outcome = outcomes.get(arrival.request)
         host = '' if outcome is None else outcome.host
+        drained_at = left_since(record, arrival, outcome, drained_at)
         limit = (
             drained_at
             + DRAIN_SECONDS
--- a/tests/soak/_store.py
+++ b/tests/soak/_store.py
@@ -13,7 +13,7 @@
 
 from tests.platform_adapter.standin_store import StandInStore
 from tests.soak._odd_entries import OddEntry
-from tests.soak._record import Record, Span
+from tests.soak._record import Record, Restore, Span
 
 DOWN = 'down'
 SLOW = 'slow'
@@ -24,6 +24,8 @@
 LIMITED = 'limited'
 RESET = 'reset'
 REJECTIONS = (DOWN, LIMITED, RESET, SILENT)
+ABSENCES = (DOWN, RESET, SILENT)
+CONFIGURATION_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 HOSTS_TOPIC = 'keyed.hosts'
 _SLOW_SECONDS = 0.25
@@ -37,7 +39,7 @@
     def __init__(self, record: Record, random: Random) -> None:
         """Create empty topics."""
         self._store_server = StandInStore(
-            {'keyed.op': [], SERVERS_TOPIC: [], HOSTS_TOPIC: []}
+            {CONFIGURATION_TOPIC: [], SERVERS_TOPIC: [], HOSTS_TOPIC: []}
         )
         self._record = record
         self._random = random
@@ -46,6 +48,12 @@
         self._faults: dict[str, str] = {}
         self._rejections: dict[str, str] = {}
         self._outage: Span | None = None
+        # How it fails all calls while it is away.
+        self._absence: str | None = None
+        self._away_at = 0.0
+        self._newest_configuration = b''
+        # When each server last said that it is there.
+        self._heard_at: dict[str, float] = {}
 
     async def listen(self, host: str, ip: str) -> str:
         """Listen for one host on a free port and return ``ip:port``."""
@@ -67,13 +75,57 @@
 
     def write_configuration(self, document: dict[str, object]) -> float:
         """Write a configuration version; return the monotonic time in s."""
-        self._write('keyed.op', 'config', json.dumps(document).encode())
+        self._newest_configuration = json.dumps(document).encode()
+        self.write_configuration_again()
         return time.monotonic()
 
+    def write_configuration_again(self) -> None:
+        """Write the newest version, as the operator does after a restore."""
+        self._write(CONFIGURATION_TOPIC, 'config', self._newest_configuration)
+        if self._absence is None:
+            for restore in self._record.restores:
+                restore.configured_at = min(
+                    restore.configured_at, time.monotonic()
+                )
+
     def write_server(self, server: str, content: dict[str, object]) -> None:
         """Write the registration of a server; an empty one removes it."""
         payload = json.dumps(content).encode() if content else b''
         self._write(SERVERS_TOPIC, server, payload)
+        now = time.monotonic()
+        if content:
+            self._heard_at[server] = now
+        is_leaving = not content or content['state'] == 'draining'
+        if is_leaving and self._absence is None:
+            for restore in self._record.restores:
+                restore.left_at.setdefault(server, now)
+
+    def expire_servers(self, seconds: float) -> None:
+        """Remove the entries of servers that were silent for so long."""
+        entries = dict(self._store_server.topics[SERVERS_TOPIC])
+        now = time.monotonic()
+        for server, content in entries.items():
+            heard_at = self._heard_at.get(server)
+            is_silent = heard_at is not None and now - heard_at > seconds
+            if content and is_silent:
+                self.write_server(server, {})
+
+    def go_away(self, kind: str) -> None:
+        """Serve nobody and take nothing from now on."""
+        self._absence = kind
+        self._away_at = time.monotonic()
+
+    def return_from_copy(self, copied_at: float) -> None:
+        """
+        Serve again from a copy, without what was written since.
+
+        :param copied_at: when the copy was made, in monotonic seconds.
+        """
+        self._store_server.restore(self._store_server.ends_at(copied_at))
+        self._absence = None
+        self._record.restores.append(
+            Restore(copied_at, Span(self._away_at, time.monotonic()))
+        )
 
     def write_odd_entry(self, topic: str, entry: OddEntry) -> None:
         """Write an entry as another writer might."""
@@ -130,22 +182,30 @@
             self._outage = None
 
     def _write(self, topic: str, key: str, content: bytes) -> None:
-        self._store_server.topics[topic].append((key, content))
+        if self._absence is None:
+            self._store_server.write(topic, key, content)
 
     async def _handle(
         self, host: str, request: web.BaseRequest
     ) -> web.StreamResponse:
-        fault = self._rejections.get(host) or self._faults.get(host)
+        fault = (
+            self._absence
+            or self._rejections.get(host)
+            or self._faults.get(host)
+        )
         if fault in {DOWN, LIMITED}:
-            return web.Response(status=503 if fault == DOWN else 429)
+            return self._store_server.refuse(503 if fault == DOWN else 429)
         if fault == RESET:
             _abort(request)
             return web.Response(status=503)
         if fault == SILENT:
             await asyncio.sleep(_SILENT_SECONDS)
         if fault == SLOW:
-            await asyncio.sleep(_SLOW_SECONDS)
+            await asyncio.sleep(_SLOW_SECONDS / 2)
         response = await self._store_server.handle(request)
+        if fault == SLOW:
+            # A response may be older than a restore.
+            await asyncio.sleep(_SLOW_SECONDS / 2)
         if (
             fault == LOST_RESPONSE
             and self._random.random() < _LOST_RESPONSE_SHARE
