--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import aiohttp
@@ -18,9 +17,13 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterator
 
+    from aiohttp import ClientRequest, ClientTimeout
+    from aiohttp.connector import Connection
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
+    from aiohttp.tracing import Trace
 
 _log = make_logger('http')
 
@@ -30,10 +33,15 @@
 # Parsed at once: a head has 16 bytes or more, but takes over a kilobyte of
 # memory.
 _PARSE_BYTES: Final = 8 * 1024
+_HEAD_END: Final = b'\r\n\r\n'
 # Interim responses and late copies of others that one answer may follow.
 _MAX_HEADS: Final = 16
+# What the bodies of such copies may have in all.
+_MAX_SKIPPED_BYTES: Final = 8 * 1024 * 1024
 # Heads, chunk sizes and trailers between two parts of a body.
 _MAX_FRAMING_BYTES: Final = 128 * 1024
+# Requests that one connection carries, which bounds the ids that it keeps.
+_MAX_REQUESTS: Final = 256
 _VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
 _FIRST_STATUS: Final = 100
 _SWITCHING_PROTOCOLS: Final = 101
@@ -50,9 +58,38 @@
         self._heads_left = 0
         self._body_bytes = 0
         self._framing_bytes = 0
+        # Hashes of the ids of all requests before.
+        self._carried_ids: set[int] = set()
+        self._skipped_bytes = 0
+        self._is_head_read = False
+        # The bytes before the next ones, as far as a head may end in them.
+        self._last_bytes = b''
         # Named in log lines.
         self.request_id: str | None = None
 
+    @property
+    def request_count(self) -> int:
+        """The number of requests with an id that the connection carried."""
+        return len(self._carried_ids)
+
+    def begin_request(self, request_id: str | None) -> bool:
+        """
+        Return whether the connection may carry a request.
+
+        It carries no id twice: a late copy of an answer names the request,
+        not the send, so it could pass for the answer to the later one.
+        """
+        if request_id is not None:
+            hashed_id = hash(request_id)
+            if (
+                hashed_id in self._carried_ids
+                or len(self._carried_ids) >= _MAX_REQUESTS
+            ):
+                return False
+            self._carried_ids.add(hashed_id)
+        self.request_id = request_id
+        return True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what is read from the socket at once."""
         socket_transport: Any = transport
@@ -65,6 +102,9 @@
         self._heads_left = _MAX_HEADS
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._skipped_bytes = 0
+        self._is_head_read = False
+        self._last_bytes = b''
         super().set_response_params(**params)
 
     async def read(self) -> tuple[RawResponseMessage, StreamReader]:
@@ -75,6 +115,7 @@
 
         :raises HttpProcessingError: if too many of them come before the final
             one, or bytes that are no response of the protocol.
+        :raises aiohttp.ClientPayloadError: if one of them ends early.
         """
         while True:
             message, payload = await super().read()
@@ -87,6 +128,8 @@
                 return message, payload
             if self.is_answer(message):
                 break
+            await self._skip_body(message, payload)
+        self._is_head_read = True
         payload.on_eof(self._on_response_end)
         return message, payload
 
@@ -115,12 +158,11 @@
             # The parser goes on with what it has kept.
             super().data_received(data)
             return
-        for start in range(0, len(data), _PARSE_BYTES):
+        for piece in self._pieces(data):
             if not self._awaits_response:
                 self.close()
             if self.transport is None or self.transport.is_closing():
                 return
-            piece = data[start : start + _PARSE_BYTES]
             super().data_received(piece)
             if self.exception() is not None:
                 self._fail_body('The framing of the body is broken.')
@@ -136,6 +178,38 @@
             self._fail_body('The connection was reset.')
         super().connection_lost(exc)
 
+    def _pieces(self, data: bytes) -> Iterator[bytes]:
+        """
+        Yield bytes in pieces that end with each head.
+
+        If the parser fails, it drops the heads of the same piece: an answer
+        would be lost with bytes that follow its end.
+        """
+        start = 0
+        while start < len(data):
+            piece = data[start : start + _PARSE_BYTES]
+            if not self._is_head_read:
+                position = (self._last_bytes + piece).find(_HEAD_END)
+                if position >= 0:
+                    position += len(_HEAD_END) - len(self._last_bytes)
+                    piece = piece[:position]
+                self._last_bytes = (self._last_bytes + piece)[
+                    1 - len(_HEAD_END) :
+                ]
+            yield piece
+            start += len(piece)
+
+    async def _skip_body(
+        self, message: RawResponseMessage, payload: StreamReader
+    ) -> None:
+        """Read a body away: a large unread one stops reading the socket."""
+        if not (payload.is_eof() or _is_delimited(message)):
+            self.reject('Answer to another request has no end.')
+        async for chunk in payload.iter_any():
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+                self.reject('Too many bytes before the right answer.')
+
     def _fail_body(self, why: str) -> None:
         payload = self._payload
         if payload is None or payload.is_eof():
@@ -166,16 +240,60 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Opens any number of connections of one kind."""
+    """
+    Opens any number of connections of one kind.
+
+    ``opened_count`` counts the connections, ``unsuitable_count`` those that
+    were closed since they must not carry the request that was due.
+    """
 
     def __init__(
         self,
         connection_type: type[BoundedConnection] = BoundedConnection,
+        id_header: str | None = None,
         **options: Any,
     ) -> None:
-        """Create a connector; the options are those of the base class."""
+        """
+        Create a connector; the other options are those of the base class.
+
+        :param id_header: the request header with the id of a request, None
+            if requests have no ids.
+        """
         super().__init__(limit=0, **options)
-        self._factory: Any = functools.partial(connection_type, loop=self._loop)
+        self._connection_type = connection_type
+        self._id_header = id_header
+        self._factory: Any = self._create_protocol
+        self.opened_count = 0
+        self.unsuitable_count = 0
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Return a connection that has not carried the request before."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if not isinstance(protocol, BoundedConnection):
+                return connection
+            request_id = self._id_header and req.headers.get(self._id_header)
+            if protocol.begin_request(request_id):
+                return connection
+            self.unsuitable_count += 1
+            _log.debug(
+                'Connection is not used again.',
+                request=request_id,
+                carried=protocol.request_count,
+            )
+            connection.close()
+
+    def _create_protocol(self) -> BoundedConnection:
+        self.opened_count += 1
+        return self._connection_type(self._loop)
+
+
+def _is_delimited(message: RawResponseMessage) -> bool:
+    """Return whether a response itself tells where its body ends."""
+    return message.chunked or 'Content-Length' in message.headers
 
 
 def _is_of_protocol(message: RawResponseMessage) -> bool:
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -14,13 +14,17 @@
     build_message_list,
     build_struct,
     build_struct_list,
+    messages_to_write,
     read_struct,
+    struct_type_with_messages,
     write_struct,
 )
 from burdockledge.wire.generated.burdockledge import ttypes
 
 # Payload that fits into an Ethernet frame beside the headers and the MAC.
 DATAGRAM_PAYLOAD_BYTES: Final = 1200
+# The era of messages from hosts of versions that know none.
+NO_ERA: Final = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,8 @@
 
     With ``is_whole`` it holds the newest record of every key instead.
     ``age_ms`` is the time since the stream was known to end at ``end``.
+    Offsets order records within one ``era`` of the store, which begins when
+    the store comes back from a copy of its records.
     """
 
     stream: str
@@ -47,6 +53,7 @@
     age_ms: int
     entries: tuple[StreamEntry, ...]
     is_whole: bool
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +62,14 @@
     Asks a peer for records from ``position`` on.
 
     A peer at the same position answers if its last confirmation of it is
-    newer; ``age_ms`` is the age of that of the sender.
+    newer; ``age_ms`` is the age of that of the sender. The position holds in
+    one ``era`` of the store.
     """
 
     stream: str
     position: int
     age_ms: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +182,8 @@
     evidence on crashes; ``evidence_digest`` asks for that of the receiver
     unless it is the same, a negative one asks for none. ``limited_calls``
     names the server of each call to one that names a limit; it is sent to
-    every host directly.
+    every host directly. ``written_at_ms`` is the sender's wall clock in a note
+    that is kept in the store.
     """
 
     host: str
@@ -188,6 +198,7 @@
     clearances: list[Clearance] = field(default_factory=list)
     evidence_digest: int | None = None
     limited_calls: list[int] = field(default_factory=list)
+    written_at_ms: int | None = None
 
     @property
     def has_call_events(self) -> bool:
@@ -200,6 +211,13 @@
         return bool(self.suspects or self.clearances)
 
 
+# A note as it is encoded; its call events are messages already.
+_RawNote: Final[Any] = struct_type_with_messages(
+    ttypes.Note,
+    {'started': CallStarted, 'heard': CallHeard, 'ended': CallEnded},
+)
+
+
 def hash_server_key(key: str) -> int:
     """Return the 32-bit hash that stands for a server's key in notes."""
     return xxhash.xxh32_intdigest(key.encode())
@@ -208,20 +226,21 @@
 def encode_note(note: Note) -> bytes:
     """Encode a note; the result may be larger than a datagram."""
     return write_struct(
-        ttypes.Note(
+        _RawNote(
             host=note.host,
             updates=[_build_update_struct(update) for update in note.updates]
             or None,
             pulls=build_struct_list(ttypes.StreamPull, note.pulls),
-            started=build_struct_list(ttypes.CallStarted, note.started),
-            heard=build_struct_list(ttypes.CallHeard, note.heard),
-            ended=build_struct_list(ttypes.CallEnded, note.ended),
+            started=messages_to_write(ttypes.CallStarted, note.started),
+            heard=messages_to_write(ttypes.CallHeard, note.heard),
+            ended=messages_to_write(ttypes.CallEnded, note.ended),
             fragment=build_struct(ttypes.Fragment, note.fragment),
             passed=note.passed or None,
             suspects=build_struct_list(ttypes.CrashSuspect, note.suspects),
             clearances=build_struct_list(ttypes.Clearance, note.clearances),
             evidence_digest=note.evidence_digest,
             limited_calls=note.limited_calls or None,
+            written_at_ms=note.written_at_ms,
         ),
     )
 
@@ -232,7 +251,7 @@
 
     :raises WireError: if the bytes do not encode a note.
     """
-    raw = read_struct(ttypes.Note(), encoded)
+    raw = read_struct(_RawNote(), encoded)
     if raw.host is None:
         raise WireError('note without host')
     return Note(
@@ -250,6 +269,7 @@
         clearances=build_message_list(Clearance, raw.clearances),
         evidence_digest=raw.evidence_digest,
         limited_calls=list(raw.limited_calls or ()),
+        written_at_ms=raw.written_at_ms,
     )
 
 
@@ -289,6 +309,7 @@
             build_struct(ttypes.StreamEntry, entry) for entry in update.entries
         ],
         is_whole=update.is_whole,
+        era=update.era,
     )
 
 
@@ -302,6 +323,7 @@
         age_ms=raw.age_ms or 0,
         entries=tuple(_build_entry(entry) for entry in raw.entries or ()),
         is_whole=bool(raw.is_whole),
+        era=raw.era,
     )
 
 
@@ -313,6 +335,7 @@
 
 __all__ = (
     'DATAGRAM_PAYLOAD_BYTES',
+    'NO_ERA',
     'CallEnded',
     'CallHeard',
     'CallStarted',
--- a/tests/soak/test_restores.py
+++ b/tests/soak/test_restores.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.soak._configuration import SoakConfiguration
-from tests.soak._oracle import find_violations
+from tests.soak._oracle import expected_body, find_violations
 from tests.soak._record import Arrival, Outcome, Record, Restore, Span
 from tests.soak._restores import configured_since
 from tests.soak._store import DOWN, SERVERS_TOPIC, SoakStore
@@ -25,7 +25,7 @@
     """Return a record of one request at host h, by process 7."""
     outcome = Outcome(
         'r', 'lookup', 'key', 'h', 7, sent_at, sent_at + 0.1, 2, status,
-        is_cut=True, was_sent=True,
+        expected_body('r', 's'), 's', was_sent=True,
     )  # fmt: skip
     for name, value in changes.items():
         setattr(outcome, name, value)
@@ -154,6 +154,7 @@
     result = with_added_route(55, record_of_request(59, 404, RESTORE))
     served = record_of_request(56, 200).outcomes[0]
     served.request, served.route = 'q', 'new'
+    served.body = expected_body('q', 's')
     result.outcomes.insert(0, served)
     assert [line.partition(':')[0] for line in find_violations(result)] == [
         'added_items_stay'
