Give a server its time again at a second restore

Callers got 503 (no server is known) 1.1 s after the second of two restores, though the server was alive: what it had written again after the first was lost by the second before the host had read it, and its delayed removal ran out with the grace of the first.

The grace of a restore now counts for removals that are delayed already; one that has expired stays so.

--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -81,6 +81,10 @@
         """Note that the records are now those of a restored store."""
         self._grace_until = max(self._grace_until, now + EXPIRY_GRACE_SECONDS)
         self._doubt_until = now + RESTORE_DOUBT_SECONDS
+        for entry in self._entries.values():
+            # What the server wrote again may have been lost again.
+            if entry.expires_at is not None and entry.expires_at >= now:
+                entry.expires_at = max(entry.expires_at, self._grace_until)
 
     def is_in_doubt(self, registration: Registration, now: float) -> bool:
         """
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -79,3 +79,23 @@
     registry.remove('s', 110)
     registry.register(registration())
     assert len(registry.ready_instances('book', 120)) == 1
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'is_available'),
+    [(1.5, True), (EXPIRY_GRACE_SECONDS + 0.5, False)],
+    ids=['within the grace', 'after the grace'],
+)
+def test_a_second_restore_gives_a_server_its_time_again(
+    seconds: float, is_available: bool
+) -> None:
+    """Guards against a server that is dropped before it writes again."""
+    registry = ServerRegistry()
+    registry.register(registration())
+    registry.note_restore(100)
+    registry.remove('s', 100)
+    second_at = 100 + seconds
+    registry.note_restore(second_at)
+    assert len(registry.ready_instances('book', second_at + 2)) == is_available
+    after_grace = second_at + EXPIRY_GRACE_SECONDS + 0.1
+    assert registry.ready_instances('book', after_grace) == []
