Let the keeper of evidence bring a restored store up to date

Callers would be let through with a part that crashes servers, or refused one that was released, after hosts restart beside a store that has come back from an older copy: the record of a block is gone, or one that was dropped is back, and each host believes what it knew of the store before.

Cause: the keeper holds which parts it believes to be kept, and nothing told it that the store may have lost what it had confirmed. Class: an acknowledgement that counts beyond the life of what gave it.

Change: EvidenceKeeper.note_restore(), for the composition root to call with each new era of the store. Blocks count as not kept, so their writers write them again within a second, one write a block in the whole fleet. Records that were dropped since the copy are found by a read; hosts spread their reads over 0.05 s each, 9.75 s for 195. A write or read that was under way as the restore was noticed does not tell what the store has now; evidence that was read before counts all the same.

Evidence: 16 tests in tests/replication/test_restored_evidence.py, 3 and 195 hosts, two restores in a row, a store that is away meanwhile, slow answers. All fail if note_restore does nothing; one each fails if an acknowledgement or a read from before the restore counts, or if the reads are not spread (at most 50 a second). No host calls the method yet, as eras come with the client of the store.

What remains: a host that starts after the restore and reads before the block is written again, within about a second, learns a block that is older than 15 minutes only at its next start; one that reads a released part before it is dropped again keeps the block until a peer tells it of the release, within 15 minutes of that.

--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
@@ -37,6 +38,9 @@
 # that much younger than it seems, so that no clearance from before it voids it.
 _MAX_CLOCK_ERROR_SECONDS: Final = 5.0
 _MS_PER_SECOND: Final = 1000
+# Hosts that read again at the same time spread their reads so that the store
+# gets one in this time.
+_READ_SPACING_SECONDS: Final = 0.05
 
 
 class EvidenceKeeper(TaskGroupService):
@@ -68,6 +72,8 @@
         self._random = random
         # Keys of the parts that this host believes to be in the store.
         self._kept: set[int] = set()
+        self._restore_count = 0
+        self._read_due_at = -math.inf
         self.list_hosts: Callable[[], list[str]] = list
 
     def is_writer(self, part: int) -> bool:
@@ -75,44 +81,88 @@
         hosts = {self._own_host, *self.list_hosts()}
         return rank(f'part {part}', hosts)[0] == self._own_host
 
+    def note_restore(self) -> None:
+        """
+        Bring up to date a store that has come back from an older copy.
+
+        The writers of the blocks write them again at once. Records that were
+        dropped since the copy are found by a read, for which hosts take turns.
+        """
+        self._restore_count += 1
+        self._kept.difference_update(self._quarantine.blocked)
+        spread = len(self.list_hosts()) * _READ_SPACING_SECONDS
+        self._read_due_at = (
+            self._clock.monotonic() + spread * self._random.random()
+        )
+
     async def start(self) -> None:
         """Start to read, and then to write."""
         self.supervise(self._keep_forever)
 
     async def _keep_forever(self) -> None:
-        while not await self._load():
-            await self._wait_before_retry()
         while True:
+            await self._read_if_due()
+            await self._write_changes()
             await asyncio.sleep(_CHECK_SECONDS)
-            blocked = set(self._quarantine.blocked)
-            for part in blocked ^ self._kept:
-                if self.is_writer(part):
-                    await self._write(part, is_blocked=part in blocked)
 
-    async def _load(self) -> bool:
+    async def _read_if_due(self) -> None:
+        while self._clock.monotonic() >= self._read_due_at:
+            if not await self._read():
+                await self._wait_before_retry()
+
+    async def _read(self) -> bool:
+        """Return whether the records were read that the store has now."""
+        restore_count = self._restore_count
         result = await self._source.read_kept()
         if isinstance(result, Err):
             return False
-        for key, content in result.ok_value.items():
-            try:
-                part, note = int(key), decode_note(content)
-            except (ValueError, WireError) as error:
-                _log.warning('Kept evidence is left out.', why=str(error))
-                continue
-            self._restore(note)
-            # A record without a time, of a former version, is written again.
-            is_dated = note.written_at_ms is not None
-            if is_dated or part not in self._quarantine.blocked:
-                self._kept.add(part)
+        kept = {
+            part
+            for key, content in result.ok_value.items()
+            if (part := self._restore_part(key, content)) is not None
+        }
+        _log.info(
+            'Kept evidence is read.',
+            records=len(result.ok_value),
+            blocked=len(self._quarantine.blocked),
+            restores=restore_count,
+        )
+        # Evidence counts that was read before a restore of the store, but the
+        # store may have lost it.
+        if restore_count != self._restore_count:
+            return False
+        self._kept = kept
+        self._read_due_at = math.inf
         return True
 
-    def _restore(self, note: Note) -> None:
+    def _restore_part(self, key: str, content: bytes) -> int | None:
+        """
+        Add the evidence of a record.
+
+        :return: its part, None if the record has to be written again.
+        """
+        try:
+            part, note = int(key), decode_note(content)
+        except (ValueError, WireError) as error:
+            _log.warning('Kept evidence is left out.', why=str(error))
+            return None
         elapsed_ms = self._elapsed_ms(note)
         self._quarantine.restore(
             [_aged_suspect(one, elapsed_ms) for one in note.suspects],
             [_aged_clearance(one, elapsed_ms) for one in note.clearances],
             self._clock.monotonic(),
         )
+        # A record without a time, of a former version, is written again.
+        is_dated = note.written_at_ms is not None
+        return (
+            part if is_dated or part not in self._quarantine.blocked else None
+        )
+
+    async def _write_changes(self) -> None:
+        blocked = set(self._quarantine.blocked)
+        for part in blocked ^ self._kept:
+            if self.is_writer(part):
+                await self._write(part, is_blocked=part in blocked)
 
     def _elapsed_ms(self, note: Note) -> int:
         """Return the time since a note was written, rather too short."""
@@ -124,10 +174,14 @@
         )
 
     async def _write(self, part: int, *, is_blocked: bool) -> None:
+        restore_count = self._restore_count
         content = self._encode(part) if is_blocked else None
         if not await self._source.write_kept(str(part), content):
             await self._wait_before_retry()
             return
+        if restore_count != self._restore_count:
+            # The store may have confirmed it before it was restored.
+            return
         if is_blocked:
             self._kept.add(part)
         else:
