Take no answer without an id on a used connection in serve

Callers of a service could get the answer to a call of another team, with status 200: a late copy without X-Request-Id of what its connection had answered before.

Cause: an answer without an id counted as that to the pending call; only a refusal was looked at more closely. The host that forwards takes such an answer only as the first of a connection; serve had no such rule.

Change: the same rule in serve's pool: the first answer of a connection may lack an id, and the connection is not used again; a later one without an id fails its call, which may have run. Services that name no ids work as before, on a new connection for each call.

--- a/src/burdockledge/backends/_sessions.py
+++ b/src/burdockledge/backends/_sessions.py
@@ -23,19 +23,25 @@
 
 
 class _BackendConnection(BoundedConnection):
-    """A connection that is not used after an answer to another call."""
+    """A connection that is not used after an answer that may be foreign."""
 
     def is_answer(self, message: RawResponseMessage) -> bool:
         """
         Return True, since the clients compare the ids.
 
         After a foreign answer, the one to the pending call may come where the
-        next is due.
+        next is due. An answer without an id is only accepted as the first of
+        its connection: later, it could be a late copy of the one before.
+
+        :raises HttpProcessingError: if an answer lacks its id.
         """
+        if self.request_id is None:
+            # The log and the host list are called without ids.
+            return True
         response_id = message.headers.get(REQUEST_ID_HEADER)
-        # The log and the host list are called without ids.
-        is_identified = self.request_id and response_id
-        if is_identified and response_id != self.request_id:
+        if response_id is None and self.request_count > 1:
+            self.reject('Answer lacks its id.')
+        if response_id != self.request_id:
             self.force_close()
         return True
 
--- a/tests/backends/test_foreign_answers.py
+++ b/tests/backends/test_foreign_answers.py
@@ -7,8 +7,10 @@
 from typing import Final
 
 import pytest
+from result import Err
 
 from burdockledge.backends import (
+    CallFailure,
     ClientSessions,
     EndKind,
     EngineCall,
@@ -79,3 +81,61 @@
 
     asyncio.run(run())
     assert answered == [True, False, True, True]
+
+
+@pytest.mark.parametrize('status', ['200 OK', '503 Busy', '404 None'])
+def test_an_answer_without_an_id_is_no_answer_to_the_next_call(
+    status: str,
+) -> None:
+    """Guards against the answer to one team that another one gets."""
+    copy = f'HTTP/1.1 {status}\r\nContent-Length: 4\r\n\r\ncopy'
+
+    async def answer(
+        head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        own_id = header_value(head, 'X-Request-Id')
+        if own_id == IDS[1]:
+            writer.write(copy.encode())
+            await asyncio.sleep(PAUSE_SECONDS)
+        writer.write(answer_to(own_id, '200 OK'))
+
+    async def run() -> None:
+        server = StandInServer(answer)
+        await server.start()
+        async with open_sessions() as sessions:
+            client = HttpServiceClient(sessions.pooled, sessions.unpooled, 1)
+            replies = [
+                await client.call(
+                    f'http://{server.address}',
+                    ServiceCall(own_id, 'POST', '/x', 'a/b', b'x', '', 2),
+                )
+                for own_id in IDS
+            ]
+        await server.stop()
+        assert replies[1] == Err(CallFailure.in_doubt)
+        assert all(replies[place].is_ok() for place in (0, 2, 3))
+
+    asyncio.run(run())
+
+
+def test_a_service_that_names_no_ids_is_called_on_new_connections() -> None:
+    """Guards against a service that is cut off as its answers lack ids."""
+
+    async def answer(
+        _: bytes, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+
+    async def run() -> None:
+        server = StandInServer(answer)
+        await server.start()
+        async with open_sessions() as sessions:
+            client = HttpServiceClient(sessions.pooled, sessions.unpooled, 1)
+            for own_id in IDS:
+                call = ServiceCall(own_id, 'GET', '/x', 'a/b', b'', '', 2)
+                reply = await client.call(f'http://{server.address}', call)
+                assert reply.unwrap().body == b'ok'
+        assert server.connection_count == len(IDS)
+        await server.stop()
+
+    asyncio.run(run())
