Keep no cookies of services in serve

A caller's call could run in the session of another one: cookies that a service set in its answer to one went with the calls of all to the same host name.

Cause: the sessions of serve had the cookie jar of aiohttp, which the host that forwards had switched off.

Change: make_session makes sessions without one.

Evidence: test_a_cookie_of_a_service_is_not_sent_with_other_calls fails before, all tests of backends, gateway and http_client pass after, with linters and types.

--- a/src/burdockledge/http_client/_session.py
+++ b/src/burdockledge/http_client/_session.py
@@ -16,7 +16,7 @@
     connector: BoundedConnector, **options: Any
 ) -> aiohttp.ClientSession:
     """
-    Create a session that sends each request once.
+    Create a session that sends each request once and keeps no cookies.
 
     aiohttp follows redirects by a parameter of each request, so callers pass
     ``allow_redirects=False``.
@@ -24,7 +24,10 @@
     :param options: those of the session; requires a running event loop.
     """
     session = aiohttp.ClientSession(
-        connector=connector, read_bufsize=READ_BYTES, **options
+        connector=connector,
+        read_bufsize=READ_BYTES,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        **options,
     )
     # aiohttp would send PUT, DELETE and GET again over a new connection if
     # theirs breaks, although they may have run.
--- a/tests/backends/test_foreign_answers.py
+++ b/tests/backends/test_foreign_answers.py
@@ -139,3 +139,31 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+def test_a_cookie_of_a_service_is_not_sent_with_other_calls() -> None:
+    """Guards against a session of one caller that others take part in."""
+
+    async def answer(
+        head: bytes, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        own_id = header_value(head, 'X-Request-Id')
+        answer_bytes = answer_to(own_id, '200 OK')
+        writer.write(
+            answer_bytes.replace(b'\r\n', b'\r\nSet-Cookie: a=1\r\n', 1)
+        )
+
+    async def run() -> None:
+        server = StandInServer(answer)
+        await server.start()
+        port = server.address.rpartition(':')[2]
+        async with open_sessions() as sessions:
+            for own_id in IDS:
+                # Cookies are kept for names, not for addresses.
+                assert await call_service(
+                    f'http://localhost:{port}', sessions, own_id
+                )
+        await server.stop()
+        assert not any(b'ookie' in head for head, _ in server.requests)
+
+    asyncio.run(run())
