Tell the keeper of evidence of a restore, once an era

A restored store would lose the blocks of prompt parts for good, and get the registration of each host and each block twice: the keeper was not told of a restore, and what was told was told once for each of the two streams.

Change: the composition root tells both, the reader of the store and the keeper; the routing state tells of an era of the store once, at the first stream that comes to it.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -260,7 +260,11 @@
         limits.on_change = self._update_limit_gauges
         self.routing_state.host_count = self.host_count
         self.routing_state.on_routes = self._on_routes
-        self.routing_state.on_restore = self.store_reader.note_restore
+        self.routing_state.on_restore = self._on_restore
+
+    def _on_restore(self) -> None:
+        self.store_reader.note_restore()
+        self.evidence_keeper.note_restore()
 
     def _count_part_event(self, event: QuarantineEvent) -> None:
         self.metrics.count('prompt_part_events', event=event.event)
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -29,6 +29,7 @@
 )
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
+    NO_ERA,
     CallEnded,
     CallHeard,
     CallStarted,
@@ -105,8 +106,9 @@
         self._instance_ids_by_hash: dict[int, str] = {}
         self.host_count: Callable[[], int] = lambda: 1
         self.on_routes: Callable[[RouteIndex], None] | None = None
-        # Called once for each stream that is restored.
+        # Called once for each era of the store that follows another one.
         self.on_restore: Callable[[], None] | None = None
+        self._restored_era = NO_ERA
         exchange.on_restore = self._note_restore
         exchange.on_change = self._apply_records
         exchange.on_call_events = self._apply_call_events
@@ -343,7 +345,9 @@
     def _note_restore(self, stream: str) -> None:
         if stream == SERVERS_STREAM:
             self._registry.note_restore(self._clock.monotonic())
-        if self.on_restore is not None:
+        era = self._exchange.state(stream).era
+        if self.on_restore is not None and era > self._restored_era:
+            self._restored_era = era
             self.on_restore()
 
     def _set_cache_size(self, instance: ServerInstance) -> None:
--- a/tests/relay/test_replicated_state.py
+++ b/tests/relay/test_replicated_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -123,3 +124,24 @@
     assert allowed == [True] * 8 + [False] * 2
     state.apply_retry_settings(RetryBudgetSettings(0.2, 20, 10))
     assert state.take_retry('model')
+
+
+def test_a_restore_of_the_store_is_told_once_an_era() -> None:
+    """Guards against what is written again once for each stream."""
+    state, exchange = routing_state()
+    told: list[None] = []
+    state.on_restore = lambda: told.append(None)
+    steps = [
+        (CONFIGURATION_STREAM, 1, 0),
+        (SERVERS_STREAM, 1, 0),
+        (SERVERS_STREAM, 2, 1),
+        (CONFIGURATION_STREAM, 2, 1),
+        (CONFIGURATION_STREAM, 4, 2),
+        (SERVERS_STREAM, 3, 2),
+        (SERVERS_STREAM, 4, 2),
+        (SERVERS_STREAM, 5, 3),
+    ]
+    for stream, era, count in steps:
+        update = full_update(stream, engine=b'1')
+        exchange.publish(replace(update, era=era))
+        assert len(told) == count
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -10,8 +10,8 @@
 
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
-from burdockledge.relay import RetryBudgetSettings
-from burdockledge.wire import MemberStatus, MemberUpdate
+from burdockledge.relay import SERVERS_STREAM, RetryBudgetSettings
+from burdockledge.wire import MemberStatus, MemberUpdate, StreamUpdate
 from tests.platform_adapter.front_harness import make_settings
 
 PEER_KEYS = PeerKeys(('a key of sixteen characters',), None)
@@ -72,6 +72,27 @@
     asyncio.run(run())
 
 
+def test_all_that_writes_to_the_store_is_told_of_its_restore() -> None:
+    """Guards against hosts and blocks that a restored store has lost."""
+
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            host = RelayHost(make_settings(), PEER_KEYS, session)
+            told: list[str] = []
+            for service in (host.store_reader, host.evidence_keeper):
+                vars(service)['note_restore'] = partial(
+                    told.append, service.name
+                )
+            for era in (1, 2):
+                host.exchange.publish(
+                    StreamUpdate(SERVERS_STREAM, 0, 0, 0, (), True, era)
+                )
+            assert told == ['store-reader', 'evidence-keeper']
+            await host.server_client.close()
+
+    asyncio.run(run())
+
+
 def test_exchange_peers_follow_membership() -> None:
     """The exchange sends to alive and suspect hosts, not to dead ones."""
     alive = MemberUpdate(
