Work out a server's share of prefill once for each placement

It was worked out three times for each server: for the mean of all, for the own loss and for that of others. The choices stay equal (tests/scheduling).

--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -90,19 +90,23 @@
 
 
 class _Server(NamedTuple):
-    """A server, and the tokens of the prompt that it caches or prefills."""
+    """
+    A server, and the tokens of the prompt that it caches or prefills.
+
+    ``prefill_share`` is known if the call has a pause target.
+    """
 
     instance: ServerInstance
     load: ServerLoad
     cached_tokens: int
+    prefill_share: float | None
 
 
 class _Offer(NamedTuple):
     """A server that may get the call, at a cost without predicted loss."""
 
     cost_seconds: float
-    instance: ServerInstance
-    load: ServerLoad
+    server: _Server
     prefill_tokens: int
     running_calls: int
     cache_source: ServerInstance | None
@@ -153,11 +157,13 @@
             if not is_paused(instance.instance_id, now)
         ]
         prompt = request.prompt
+        has_target = request.pause_target_seconds is not None
         servers: list[_Server] = []
         for instance in healthy or instances:
             load = self._loads.load_of(instance.instance_id)
+            share = load.prefill_share(now) if has_target else None
             cached_tokens = load.cache.cached_tokens(prompt)
-            servers.append(_Server(instance, load, cached_tokens))
+            servers.append(_Server(instance, load, cached_tokens, share))
         comparison = _Comparison(request, now, limited_instance_ids)
         if healthy:
             comparison.find_cache_holder(servers)
@@ -172,9 +178,8 @@
             )
             for server in servers
         ]
-        usual_share = _mean_prefill_share(servers, request, now)
         offers.sort(key=itemgetter(0))
-        return comparison.best_of(offers, usual_share)
+        return comparison.best_of(offers, _mean_prefill_share(servers))
 
 
 class _Comparison:
@@ -196,11 +201,12 @@
         """Find the server that has prefilled the most of the prompt."""
         prompt = self._request.prompt
         most_tokens = 0
-        for instance, load, cached_tokens in servers:
+        for server in servers:
             # What is prefilled is cached, so most servers are passed here.
-            if cached_tokens <= most_tokens:
+            if server.cached_tokens <= most_tokens:
                 continue
-            tokens = load.cache.prefilled_tokens(prompt)
+            instance = server.instance
+            tokens = server.load.cache.prefilled_tokens(prompt)
             if (
                 tokens > most_tokens
                 and instance.instance_id not in self._limited_instance_ids
@@ -212,7 +218,7 @@
         self, server: _Server, tie_break_seconds: float, failure_rate: float
     ) -> _Offer:
         """Return the cost of a server without the predicted loss."""
-        instance, load, cached = server
+        instance, load, cached, _ = server
         request = self._request
         seconds = tie_break_seconds
         if instance.data_centre != request.data_centre:
@@ -227,7 +233,7 @@
                 * running_calls
                 / max(1, instance.slots)
             )
-            return _Offer(seconds, instance, load, 0, running_calls, None)
+            return _Offer(seconds, server, 0, running_calls, None)
         uncached = max(0, self._prompt_tokens - cached)
         fetched = self._fetched_tokens(instance, cached, uncached)
         uncached -= fetched
@@ -238,7 +244,7 @@
             _BATCH_EVENTS * load.timing.pause_seconds_per_call * running_calls
         )
         source = self._holder.instance if self._holder and fetched else None
-        return _Offer(seconds, instance, load, uncached, running_calls, source)
+        return _Offer(seconds, server, uncached, running_calls, source)
 
     def best_of(
         self, offers: list[_Offer], usual_share: float
@@ -261,7 +267,7 @@
         if best is None:
             return None
         return PlacementChoice(
-            best.instance,
+            best.server.instance,
             least_seconds,
             best.prefill_tokens,
             best.running_calls,
@@ -294,11 +300,12 @@
         target_seconds = request.pause_target_seconds
         if target_seconds is None or not request.prompt.parts:
             return 0.0
-        load = offer.load
+        _, load, _, prefill_share = offer.server
+        if prefill_share is None:
+            prefill_share = load.prefill_share(self._now)
         timing = load.timing
         pause_seconds = load.pause_seconds(offer.running_calls + 1)
-        prefill_share = load.prefill_share(self._now)
-        if all(other > target_seconds for other in load.stream_weights):
+        if min(load.stream_weights, default=math.inf) > target_seconds:
             prefill_share = max(prefill_share, usual_share)
         miss_rate = (1 - prefill_share) * timing.miss_rate(
             pause_seconds, target_seconds
@@ -318,12 +325,13 @@
         Streams that the prompts there make miss their target anyway don't
         count, so that at peak load prompts go where their cached parts are.
         """
-        load = offer.load
+        _, load, _, prefill_share = offer.server
         if not load.stream_weights or not offer.prefill_tokens:
             return 0.0
+        if prefill_share is None:
+            prefill_share = load.prefill_share(self._now)
         timing = load.timing
         pause_seconds = load.pause_seconds(offer.running_calls)
-        prefill_share = load.prefill_share(self._now)
         prefill_seconds = offer.prefill_tokens / load.prefill_tokens_per_second
         prefill_pause_seconds = pause_seconds + min(
             timing.prefill_pause_seconds, prefill_seconds
@@ -366,13 +374,13 @@
     )
 
 
-def _mean_prefill_share(
-    servers: list[_Server], request: PlacementRequest, now: float
-) -> float:
-    if request.pause_target_seconds is None or not servers:
-        return 0.0
-    shares = [server.load.prefill_share(now) for server in servers]
-    return sum(shares) / len(shares)
+def _mean_prefill_share(servers: list[_Server]) -> float:
+    shares = [
+        server.prefill_share
+        for server in servers
+        if server.prefill_share is not None
+    ]
+    return sum(shares) / len(shares) if shares else 0.0
 
 
 def _prompt_tokens(prompt: Prompt) -> int:
