--- a/src/burdockledge/bench/_host_tables.py
+++ b/src/burdockledge/bench/_host_tables.py
@@ -100,6 +100,18 @@
         '256',
         'oldest',
     ),
+    (
+        '`ServerRegistry._removed`',
+        'removed server',
+        'those of 60 s',
+        'after 60 s',
+    ),
+    (
+        '`BoundedConnection._carried_ids`',
+        'request',
+        '256 a connection',
+        'with its connection',
+    ),
 )
 _READ: Final[_Rows] = (
     (
