Judge a host that stood still as the store came back from when it is in touch

Trace: the store came back at 10.13 s; host-2 was stopped from 10.58 to 14.33 s; desk-4 said that it drains at 10.98 s; host-2 sent what it had taken before at 14.38 s, before it could read anything.

Only for the time after a restore, and only for a pause that begins before the host was in touch again; a later one is judged as before, and so are pauses without a restore.

--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -108,6 +108,9 @@
         if signal_number == signal.SIGTERM:
             stop = Span(now, now + SHUTDOWN_GRACE_SECONDS)
             self._record.stops.setdefault(self.pid, stop)
+        if signal_number == signal.SIGSTOP:
+            pause = Span(now, now + seconds)
+            self._record.pauses.setdefault(self.name, []).append(pause)
         if signal_number in {signal.SIGKILL, signal.SIGSTOP}:
             self._record.killed.add(self.pid)
         with contextlib.suppress(ProcessLookupError):
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -203,6 +203,8 @@
     restores: list[Restore] = field(default_factory=list)
     link_faults: list[Span] = field(default_factory=list)
     host_faults: dict[str, list[Span]] = field(default_factory=dict)
+    # When each host stood still, among its other faults.
+    pauses: dict[str, list[Span]] = field(default_factory=dict)
     # Shutdowns by process id, and processes that were also killed or paused.
     stops: dict[int, Span] = field(default_factory=dict)
     killed: set[int] = field(default_factory=set)
--- a/tests/soak/_restores.py
+++ b/tests/soak/_restores.py
@@ -10,7 +10,7 @@
     is_rejected,
     tolerance_seconds,
 )
-from tests.soak._record import Arrival, Outcome, Record
+from tests.soak._record import Arrival, Outcome, Record, Restore
 
 
 def configured_since(record: Record, since: float, at: float) -> float:
@@ -65,11 +65,21 @@
         if restore.away.began <= arrival.at and not has_heard:
             if restore.takes_back(since):
                 since = restore.left_at.get(arrival.server, math.inf)
-            in_touch_at = restore.away.ended + CONTACT_SECONDS
+            host = '' if outcome is None else outcome.host
+            in_touch_at = _in_touch_at(record, host, restore)
             since = max(since, in_touch_at - DRAIN_SECONDS)
     return since
 
 
+def _in_touch_at(record: Record, host: str, restore: Restore) -> float:
+    """Return when a host is in touch with the store that has come back."""
+    calm_since = restore.away.ended
+    for pause in record.pauses.get(host, []):
+        if pause.touches(calm_since, calm_since + CONTACT_SECONDS):
+            calm_since = pause.ended
+    return calm_since + CONTACT_SECONDS
+
+
 def _has_heard(
     record: Record, outcome: Outcome, since: float, until: float
 ) -> bool:
--- a/tests/soak/test_restores.py
+++ b/tests/soak/test_restores.py
@@ -48,6 +48,12 @@
     return result
 
 
+def with_pause(began: float, ended: float, result: Record) -> Record:
+    """Return the record with a host that stands still for a while."""
+    result.pauses['h'] = [Span(began, ended)]
+    return result
+
+
 def with_leaving_server(
     since: float,
     again_at: float | None,
@@ -93,6 +99,9 @@
     'a lost leaving, later than the bound after it was said again': lambda: (
         with_leaving_server(57, 61, record_of_request(66, 200, RESTORE))
     ),
+    'a leaving at a host that stood still later': lambda: with_pause(
+        64, 66, with_leaving_server(57, 61, record_of_request(66, 200, RESTORE))
+    ),
     'a leaving that the copy holds, once the host is in touch again': lambda: (
         with_leaving_server(
             49, None, record_of_request(64, 200, RESTORE), started_at=59
@@ -126,6 +135,13 @@
             52, 68, record_of_request(66, 200, RESTORE), started_at=59
         )
     ),
+    'a leaving at a host that stood still as the store came back': lambda: (
+        with_pause(
+            62,
+            66,
+            with_leaving_server(57, 62, record_of_request(66, 200, RESTORE)),
+        )
+    ),
     'a leaving that was confirmed just before the store went away': lambda: (
         with_leaving_server(57, 61, record_of_request(62, 200, RESTORE))
     ),
