--- a/src/burdockledge/wire/_codec.py
+++ b/src/burdockledge/wire/_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from importlib.util import find_spec
+from importlib import import_module
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -16,8 +16,17 @@
 
 MessageT = TypeVar('MessageT')
 
-# Whether the codec in C is there; without it all is slower.
-IS_ACCELERATED: Final = find_spec('thrift.protocol.fastbinary') is not None
+
+def _can_import(module: str) -> bool:
+    try:
+        import_module(module)
+    except ImportError:
+        return False
+    return True
+
+
+# Whether the codec in C can be used; without it all is slower.
+IS_ACCELERATED: Final = _can_import('thrift.protocol.fastbinary')
 
 _PROTOCOL_FACTORY: Final = TCompactProtocolAcceleratedFactory(
     string_length_limit=16 * 1024 * 1024,
