Make the session of the server client in the same place

The host's client of servers made a session of its own, with a resend and cookies switched off there once more. make_session is now the only place that does so. The session of the store client keeps its own: a read that is sent again does no harm there, and one that fails waits for the next turn.

--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -11,9 +11,9 @@
 from yarl import URL
 
 from burdockledge.http_client import (
-    READ_BYTES,
     BoundedConnection,
     BoundedConnector,
+    make_session,
 )
 from burdockledge.platform import _names as names
 from burdockledge.platform._calls import (
@@ -205,20 +205,15 @@
             keepalive_timeout=_KEEPALIVE_SECONDS,
             socket_factory=_create_socket,
         )
-        self._session = aiohttp.ClientSession(
-            connector=self._connector,
-            read_bufsize=READ_BYTES,
+        self._session = make_session(
+            self._connector,
             request_class=_GuardedRequest,
             auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=_CONNECT_SECONDS
             ),
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         )
-        # Disables resending by aiohttp after a broken connection: the relay
-        # decides whether a call may be repeated.
-        self._session._retry_connection = False  # noqa: SLF001
 
     @property
     def opened_connections(self) -> int:
