--- a/tests/gateway/running_host.py
+++ b/tests/gateway/running_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from random import Random
@@ -36,6 +35,7 @@
 )
 from burdockledge.telemetry import TimeLine
 from burdockledge.wire import Hello
+from tests.ports import free_port
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -65,13 +65,6 @@
         return {'Authorization': f'Bearer {TEAM_KEY}', **extra}
 
 
-def free_port() -> int:
-    """Return a TCP port that is free at this moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
-
-
 def make_configuration(engine_url: str, service_url: str) -> dict[str, Any]:
     """Return a configuration with one team, one engine and one service."""
     return {
--- a/tests/membership/test_datagrams.py
+++ b/tests/membership/test_datagrams.py
@@ -3,18 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 
 from burdockledge.membership import UdpSocket
-
-
-def free_address() -> str:
-    """Return a free UDP address on loopback."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as unused:
-        unused.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{unused.getsockname()[1]}'
+from tests.ports import free_address
 
 
 @pytest.mark.parametrize(
--- a/tests/peers/test_endless_links.py
+++ b/tests/peers/test_endless_links.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.gateway.running_host import free_port
 from tests.peers.test_tcp import KEY, make_bus
+from tests.ports import free_port
 
 # A block before the proof of a key has 4 KiB; the rest is on the way in
 # sockets and buffers.
--- a/tests/peers/test_tcp.py
+++ b/tests/peers/test_tcp.py
@@ -10,7 +10,7 @@
 from burdockledge.peers import LinkConfig, PeerKeys, PeerKeysError, TcpPeerBus
 from burdockledge.telemetry import TimeLine
 from burdockledge.wire import Grant, Hello
-from tests.gateway.running_host import free_port
+from tests.ports import free_port
 
 KEY = 'a shared key of peers'
 OTHER_KEY = 'another key of peers'
--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
@@ -24,6 +23,7 @@
     response_bytes,
     send_and_receive,
 )
+from tests.ports import free_address
 from tests.relay.fakes import FakeRoutingState
 
 PEER_KEYS = PeerKeys(('a key of sixteen characters',), None)
@@ -51,13 +51,6 @@
         return Placement(1, self.instance, 0, 0, 0)
 
 
-def free_address() -> str:
-    """Return a loopback address with an unused port."""
-    with socket.socket() as probe_socket:
-        probe_socket.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe_socket.getsockname()[1]}'
-
-
 def make_settings() -> RelayHostSettings:
     """Return host settings with unused ports."""
     caller, readiness, directory, control, peer = (
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -22,7 +22,7 @@
 import pytest
 
 from burdockledge.configuration import hash_key
-from tests.gateway.running_host import free_port
+from tests.ports import free_port
 
 TEAM_KEY = 'process-team'
 OPERATOR_KEY = 'process-operator'
