--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -12,6 +12,7 @@
 from burdockledge.platform import PlatformDecoder, _calls, _servers, _store
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
+    CONFIGURATION_STREAM,
     ReplicatedRoutingState,
     _forwarder,
     _responder,
@@ -246,6 +247,23 @@
     _forwarder.Forwarder._relay_body = relay_body
 
 
+def ignore_eras() -> None:
+    """Compare the offsets of a store that was restored with earlier ones."""
+    _store._parse_era = lambda _: 0
+
+
+def return_to_versions_of_copies() -> None:
+    """Put the version in force that a restored store holds, old or not."""
+    original = ReplicatedRoutingState._note_restore
+
+    def note_restore(self: Any, stream: str) -> None:
+        if stream == CONFIGURATION_STREAM:
+            self._routes = None
+        original(self, stream)
+
+    ReplicatedRoutingState._note_restore = note_restore
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -267,6 +285,8 @@
         return_to_older_versions,
         forget_leaving_notices,
         forget_pauses,
+        ignore_eras,
+        return_to_versions_of_copies,
         believe_copied_refusals,
         believe_refusals_of_others,
         abort_callers,
--- a/tests/soak/_restore_faults.py
+++ b/tests/soak/_restore_faults.py
@@ -29,6 +29,9 @@
 _FIRST_AWAY_SHARES = (0.2, 0.4)
 _GAP_SHARES = (0.05, 0.3)
 _SECOND_RESTORE_SHARE = 0.5
+# A server that is removed so long before the hosts are disturbed is known to
+# have left as the store goes away.
+_REMOVAL_LEAD_SECONDS = 1.5
 # When hosts are disturbed, from the time on at which the store goes away.
 _HOST_FAULT_SECONDS = (0.0, 4.0)
 _HOST_FAULT_LEAD_SECONDS = 1.5
@@ -57,6 +60,8 @@
 
 async def _restore(soak_run: SoakRun, random: Random) -> None:
     store = soak_run.store
+    soak_run.spawn(soak_run.remove_server(random))
+    await asyncio.sleep(_REMOVAL_LEAD_SECONDS)
     hosts = random.sample(soak_run.hosts, max(1, len(soak_run.hosts) // 3))
     disturb = random.choice(_HOST_FAULTS)
     soak_run.spawn(disturb(soak_run, hosts, random))
@@ -69,10 +74,12 @@
     for _ in range(random.choice(_LAST_VERSIONS)):
         soak_run.configuration.publish()
     copied_at = soak_run.now() - random.uniform(*_COPY_AGES)
-    store.go_away(random.choice(ABSENCES))
-    await asyncio.sleep(random.uniform(*_AWAY_SECONDS))
     # The first configuration is in every copy.
-    store.return_from_copy(max(copied_at, soak_run.record.started_at))
+    store.go_away(
+        random.choice(ABSENCES), max(copied_at, soak_run.record.started_at)
+    )
+    await asyncio.sleep(random.uniform(*_AWAY_SECONDS))
+    store.return_from_copy()
     store.lift(slow_hosts)
     soak_run.spawn(_expire_servers(soak_run))
     await asyncio.sleep(random.uniform(0, _MAX_OPERATOR_SECONDS))
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -120,6 +120,14 @@
         await asyncio.sleep(_DRAIN_TO_STOP_SECONDS)
         await replaced_server.stop(is_crash=False)
 
+    async def remove_server(self, random: Random) -> None:
+        """Start a server, then let one leave that never said it drains."""
+        server = await self._relieve(random)
+        server.unregister()
+        # It goes on serving, longer than a copy of the store may show it.
+        await asyncio.sleep(2 * _DRAIN_TO_STOP_SECONDS)
+        await server.stop(is_crash=True)
+
     async def retire_server(
         self, random: Random, word: str, seconds: float
     ) -> None:
--- a/tests/soak/_store.py
+++ b/tests/soak/_store.py
@@ -50,7 +50,7 @@
         self._outage: Span | None = None
         # How it fails all calls while it is away.
         self._absence: str | None = None
-        self._away_at = 0.0
+        self._returned_at = 0.0
         self._newest_configuration = b''
         # When each server last said that it is there.
         self._heard_at: dict[str, float] = {}
@@ -101,32 +101,41 @@
                 restore.left_at.setdefault(server, now)
 
     def expire_servers(self, seconds: float) -> None:
-        """Remove the entries of servers that were silent for so long."""
+        """
+        Remove the entries of servers that were silent for so long.
+
+        A store that came back counts from then on.
+        """
         entries = dict(self._store_server.topics[SERVERS_TOPIC])
         now = time.monotonic()
         for server, content in entries.items():
             heard_at = self._heard_at.get(server)
-            is_silent = heard_at is not None and now - heard_at > seconds
-            if content and is_silent:
+            if not content or heard_at is None:
+                continue
+            if now - max(heard_at, self._returned_at) > seconds:
                 self.write_server(server, {})
 
-    def go_away(self, kind: str) -> None:
-        """Serve nobody and take nothing from now on."""
-        self._absence = kind
-        self._away_at = time.monotonic()
-
-    def return_from_copy(self, copied_at: float) -> None:
+    def go_away(self, kind: str, copied_at: float) -> None:
         """
-        Serve again from a copy, without what was written since.
+        Serve nobody and take nothing from now on.
 
-        :param copied_at: when the copy was made, in monotonic seconds.
+        :param copied_at: when the copy was made from which the store comes
+            back, in monotonic seconds.
         """
-        self._store_server.restore(self._store_server.ends_at(copied_at))
-        self._absence = None
+        self._absence = kind
         self._record.restores.append(
-            Restore(copied_at, Span(self._away_at, time.monotonic()))
+            Restore(copied_at, Span(time.monotonic(), math.inf))
         )
 
+    def return_from_copy(self) -> None:
+        """Serve again, without what was written since the copy."""
+        restore = self._record.restores[-1]
+        ends = self._store_server.ends_at(restore.copied_at)
+        self._store_server.restore(ends)
+        self._absence = None
+        self._returned_at = time.monotonic()
+        restore.away.ended = self._returned_at
+
     def write_odd_entry(self, topic: str, entry: OddEntry) -> None:
         """Write an entry as another writer might."""
         offset = len(self._store_server.topics[topic])
--- a/tests/soak/test_restores.py
+++ b/tests/soak/test_restores.py
@@ -217,9 +217,9 @@
     copied_at = time.monotonic()
     store.write_server('left', {})
     store.write_server('new', {'state': 'ready'})
-    store.go_away(DOWN)
+    store.go_away(DOWN, copied_at)
     store.write_server('alive', {'state': 'draining'})
-    store.return_from_copy(copied_at)
+    store.return_from_copy()
     assert listed_servers(store) == {'left', 'alive'}
     assert not record.restores[0].left_at
     time.sleep(0.01)
@@ -236,9 +236,9 @@
     configuration.publish()
     copied_at = time.monotonic()
     configuration.publish()
-    store.go_away(DOWN)
+    store.go_away(DOWN, copied_at)
     configuration.publish()
-    store.return_from_copy(copied_at)
+    store.return_from_copy()
     returned_at = time.monotonic()
     store.write_configuration_again()
     configured_at = record.restores[0].configured_at
