--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -11,7 +13,14 @@
 from burdockledge.hashing import rank
 from burdockledge.kernel import TaskGroupService
 from burdockledge.telemetry import make_logger
-from burdockledge.wire import Note, WireError, decode_note, encode_note
+from burdockledge.wire import (
+    Clearance,
+    CrashSuspect,
+    Note,
+    WireError,
+    decode_note,
+    encode_note,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -25,6 +34,13 @@
 _RETRY_SECONDS: Final = 1.0
 # How often a host looks for blocks that it has to write while there are any.
 _CHECK_SECONDS: Final = 1.0
+# How far the wall clocks of two hosts may be apart. Kept evidence is taken for
+# that much younger than it seems, so that no clearance from before it voids it.
+_MAX_CLOCK_ERROR_SECONDS: Final = 5.0
+_MS_PER_SECOND: Final = 1000
+# Hosts that read again at the same time spread their reads so that the store
+# gets one in this time.
+_READ_SPACING_SECONDS: Final = 0.05
 
 
 class EvidenceKeeper(TaskGroupService):
@@ -32,8 +48,9 @@
     Reads the kept evidence at the start, and writes that of new blocks.
 
     One host writes each block; if it fails before, the next one does, so a
-    block may be written more than once. ``list_hosts`` returns the names of
-    the hosts that share the writes.
+    block may be written more than once. A record tells when it was written, so
+    that a release of its part holds after a restart. ``list_hosts`` returns
+    the names of the hosts that share the writes.
     """
 
     name = 'evidence-keeper'
@@ -55,6 +72,8 @@
         self._random = random
         # Keys of the parts that this host believes to be in the store.
         self._kept: set[int] = set()
+        self._restore_count = 0
+        self._read_due_at = -math.inf
         self.list_hosts: Callable[[], list[str]] = list
 
     def is_writer(self, part: int) -> bool:
@@ -62,41 +81,107 @@
         hosts = {self._own_host, *self.list_hosts()}
         return rank(f'part {part}', hosts)[0] == self._own_host
 
+    def note_restore(self) -> None:
+        """
+        Bring up to date a store that has come back from an older copy.
+
+        The writers of the blocks write them again at once. Records that were
+        dropped since the copy are found by a read, for which hosts take turns.
+        """
+        self._restore_count += 1
+        self._kept.difference_update(self._quarantine.blocked)
+        spread = len(self.list_hosts()) * _READ_SPACING_SECONDS
+        self._read_due_at = (
+            self._clock.monotonic() + spread * self._random.random()
+        )
+
     async def start(self) -> None:
         """Start to read, and then to write."""
         self.supervise(self._keep_forever)
 
     async def _keep_forever(self) -> None:
-        while not await self._load():
-            await self._wait_before_retry()
         while True:
+            await self._read_if_due()
+            await self._write_changes()
             await asyncio.sleep(_CHECK_SECONDS)
-            blocked = set(self._quarantine.blocked)
-            for part in blocked ^ self._kept:
-                if self.is_writer(part):
-                    await self._write(part, is_blocked=part in blocked)
 
-    async def _load(self) -> bool:
+    async def _read_if_due(self) -> None:
+        while self._clock.monotonic() >= self._read_due_at:
+            if not await self._read():
+                await self._wait_before_retry()
+
+    async def _read(self) -> bool:
+        """Return whether the records were read that the store has now."""
+        restore_count = self._restore_count
         result = await self._source.read_kept()
         if isinstance(result, Err):
             return False
-        for key, content in result.ok_value.items():
-            try:
-                part, note = int(key), decode_note(content)
-            except (ValueError, WireError) as error:
-                _log.warning('Kept evidence is left out.', why=str(error))
-                continue
-            self._kept.add(part)
-            self._quarantine.merge(
-                note.suspects, note.clearances, self._clock.monotonic()
-            )
+        kept = {
+            part
+            for key, content in result.ok_value.items()
+            if (part := self._restore_part(key, content)) is not None
+        }
+        _log.info(
+            'Kept evidence is read.',
+            records=len(result.ok_value),
+            blocked=len(self._quarantine.blocked),
+            restores=restore_count,
+        )
+        # Evidence counts that was read before a restore of the store, but the
+        # store may have lost it.
+        if restore_count != self._restore_count:
+            return False
+        self._kept = kept
+        self._read_due_at = math.inf
         return True
 
+    def _restore_part(self, key: str, content: bytes) -> int | None:
+        """
+        Add the evidence of a record.
+
+        :return: its part, None if the record has to be written again.
+        """
+        try:
+            part, note = int(key), decode_note(content)
+        except (ValueError, WireError) as error:
+            _log.warning('Kept evidence is left out.', why=str(error))
+            return None
+        elapsed_ms = self._elapsed_ms(note)
+        self._quarantine.restore(
+            [_aged_suspect(one, elapsed_ms) for one in note.suspects],
+            [_aged_clearance(one, elapsed_ms) for one in note.clearances],
+            self._clock.monotonic(),
+        )
+        # A record without a time, of a former version, is written again.
+        is_dated = note.written_at_ms is not None
+        return (
+            part if is_dated or part not in self._quarantine.blocked else None
+        )
+
+    async def _write_changes(self) -> None:
+        blocked = set(self._quarantine.blocked)
+        for part in blocked ^ self._kept:
+            if self.is_writer(part):
+                await self._write(part, is_blocked=part in blocked)
+
+    def _elapsed_ms(self, note: Note) -> int:
+        """Return the time since a note was written, rather too short."""
+        if note.written_at_ms is None:
+            return 0
+        elapsed_ms = self._clock.wall_ms() - note.written_at_ms
+        return max(
+            0, elapsed_ms - int(_MAX_CLOCK_ERROR_SECONDS * _MS_PER_SECOND)
+        )
+
     async def _write(self, part: int, *, is_blocked: bool) -> None:
+        restore_count = self._restore_count
         content = self._encode(part) if is_blocked else None
         if not await self._source.write_kept(str(part), content):
             await self._wait_before_retry()
             return
+        if restore_count != self._restore_count:
+            # The store may have confirmed it before it was restored.
+            return
         if is_blocked:
             self._kept.add(part)
         else:
@@ -104,11 +189,15 @@
         _log.info('Kept evidence is written.', part=part, blocked=is_blocked)
 
     def _encode(self, part: int) -> bytes:
-        suspects, _ = self._quarantine.entries(self._clock.monotonic())
+        suspects, clearances = self._quarantine.entries(self._clock.monotonic())
+        own_suspects = [one for one in suspects if part in one.parts]
+        parts = {one for suspect in own_suspects for one in suspect.parts}
         return encode_note(
             Note(
                 self._own_host,
-                suspects=[one for one in suspects if part in one.parts],
+                suspects=own_suspects,
+                clearances=[one for one in clearances if one.subject in parts],
+                written_at_ms=self._clock.wall_ms(),
             )
         )
 
@@ -116,4 +205,12 @@
         await asyncio.sleep(_RETRY_SECONDS * (1 + self._random.random()))
 
 
+def _aged_suspect(suspect: CrashSuspect, elapsed_ms: int) -> CrashSuspect:
+    return replace(suspect, age_ms=suspect.age_ms + elapsed_ms)
+
+
+def _aged_clearance(clearance: Clearance, elapsed_ms: int) -> Clearance:
+    return replace(clearance, age_ms=clearance.age_ms + elapsed_ms)
+
+
 __all__ = ('EvidenceKeeper',)
--- a/tests/platform_adapter/test_hostile_servers.py
+++ b/tests/platform_adapter/test_hostile_servers.py
@@ -55,6 +55,15 @@
         yield response_bytes(OTHER_HEAD, b'z' * 100) * 100
 
 
+async def other_long_response(_: bytes) -> AsyncIterator[bytes]:
+    """Send a response to another request, of a length no host can hold."""
+    yield response_bytes(OTHER_HEAD, b'').replace(
+        b'Content-Length: 0', b'Content-Length: 99999999999'
+    )
+    while True:
+        yield b'z' * BLOCK
+
+
 async def unframed_body(head: bytes) -> AsyncIterator[bytes]:
     """Send a body without a length."""
     yield unframed_head(head)
@@ -108,6 +117,7 @@
         one_header,
         interim_responses,
         other_responses,
+        other_long_response,
         unframed_body,
         long_body,
         chunk_extension,
@@ -167,7 +177,8 @@
     async def test(harness: FrontHarness) -> None:
         first = await harness.send(request_bytes('/unsafe/x'), 0.3)
         assert first.endswith(b'first')
-        second = await harness.send(request_bytes('/unsafe/x'), 0.3)
+        other = request_bytes('/unsafe/x').replace(b'Id: r1', b'Id: r2')
+        second = await harness.send(other, 0.3)
         assert second.startswith(b'HTTP/1.1 502')
         assert harness.server.connection_count == 1
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -13,6 +13,7 @@
 from tests.soak._notice_faults import NOTICE_FAULTS
 from tests.soak._proxy import LINK_FAULTS, PASS_THROUGH
 from tests.soak._record import Span
+from tests.soak._restore_faults import RESTORE_FAULTS
 from tests.soak._servers import SERVER_FAULTS
 from tests.soak._store import STORE_FAULTS
 
@@ -24,6 +25,7 @@
 # Shares of the seeds that have each of these faults.
 ACCESS_FAULT_SHARE = 0.7
 COPY_FAULT_SHARE = 0.5
+RESTORE_FAULT_SHARE = 0.5
 
 
 def draw_schedule(
@@ -60,6 +62,7 @@
             ACCESS_FAULT_SHARE,
         ),
         ('copies', COPY_FAULTS, COPY_FAULT_SHARE),
+        ('restores', RESTORE_FAULTS, RESTORE_FAULT_SHARE),
     ):
         random = Random(f'{seed} {name}')
         for kind in injectors:
@@ -216,5 +219,10 @@
     injector.__name__: injector for injector in (set_fatal_part, limit_server)
 }
 INJECTORS: dict[str, Injector] = (
-    FAULTS | SERVER_RULE_FAULTS | ACCESS_FAULTS | NOTICE_FAULTS | COPY_FAULTS
+    FAULTS
+    | SERVER_RULE_FAULTS
+    | ACCESS_FAULTS
+    | NOTICE_FAULTS
+    | COPY_FAULTS
+    | RESTORE_FAULTS
 )
