Correct a position that a host without eras has named

A host that starts beside hosts of a former version, after a restore, would leave out all that the store says until it has written as much as was lost (CONFIG), for good in a mixed fleet. Found by the review.

Cause: a host that has seen one era takes positions without one for its own; they may be of the era before, and nothing led back.

Change: such a position is doubtful, and the next whole read or stream that names its era takes its place, also a smaller one.

--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -40,7 +40,8 @@
 
     All records below the offset ``position`` of the era ``era`` of the store
     are merged. An offset orders records within its era only; the two together,
-    ``place``, never decrease. The records mirror what the store holds, also
+    ``place``, never decrease, but where hosts that know no eras named them.
+    The records mirror what the store holds, also
     where it has come back with older ones.
     ``fresh_at`` is the latest time, in seconds of the monotonic clock, at
     which the stream is known to have ended at ``position``.
@@ -54,6 +55,9 @@
         self.fresh_at: float | None = None
         # Whether the store was restored while this host held the stream.
         self._has_crossed_eras = False
+        # Whether a host that knows no eras has named the position, which may
+        # then be one of an era before.
+        self._is_position_doubtful = False
         self._entries: dict[str, StreamEntry] = {}
         # The newest removals; all from ``_removals_complete_from`` on are here.
         self._removals: OrderedDict[str, StreamEntry] = OrderedDict()
@@ -89,16 +93,25 @@
     def merge(self, update: StreamUpdate, now: float) -> MergeResult:
         """Merge an update that was received at ``now``."""
         place = self.place_of(update.era, update.end)
-        if place is None or place < self.place:
+        if place is None:
             return MergeResult()
-        is_new_era = place[0] > self.era
-        is_restore = is_new_era and self.is_known and self.era != NO_ERA
+        is_proof = update.is_whole and update.era != NO_ERA
+        is_correction = is_proof and self._is_position_doubtful
+        if place < self.place and not (is_correction and place[0] == self.era):
+            return MergeResult()
+        is_new_era = place[0] > self.era or is_correction
+        is_restore = (
+            place[0] > self.era and self.is_known and self.era != NO_ERA
+        )
         if update.is_whole:
             changed = self._merge_whole(update, is_new_era=is_new_era)
         elif is_new_era or not self.is_known or update.start > self.position:
             return MergeResult(has_gap=True)
         else:
             changed = self._merge_tail(update)
+        self._is_position_doubtful = not is_proof and (
+            self._is_position_doubtful or update.era == NO_ERA
+        )
         self.era = place[0]
         self.position = update.end
         self._has_crossed_eras |= is_restore
