End the doubt on servers of a copy by a read of the servers

Calls would go to a server that had been seen draining or gone, as a copy of the store shows it ready (DRAIN): 5 s after the restore any record of any stream ended the doubt, though the servers had not been read since. And a live server that only the copy lacked was in doubt as it returned, as if it had said that it leaves. Found by the review.

Change: the doubt ends with a read of the servers that began 5 s after the restore or later, once its records are applied. A removal that ran out in the grace of an outage is no word of its server.

--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -63,8 +63,8 @@
 
     A store that is restored from a copy lacks the newest registrations and
     shows servers that have left since. So removals are delayed then, too, and
-    for ``RESTORE_DOUBT_SECONDS`` registrations are in doubt that contradict
-    what a server had said before.
+    until they were read ``RESTORE_DOUBT_SECONDS`` later registrations are in
+    doubt that contradict what a server had said before.
 
     All times are in seconds of the monotonic clock.
     """
@@ -87,20 +87,20 @@
             if entry.expires_at is not None and entry.expires_at >= now:
                 entry.expires_at = max(entry.expires_at, self._grace_until)
 
-    def is_in_doubt(self, registration: Registration, now: float) -> bool:
+    def is_in_doubt(self, registration: Registration) -> bool:
         """
         Return whether a registration may be older than what is known.
 
         That of a server that was removed or draining, or has started anew
         since, proves nothing if it may come from a copy of the store.
         """
-        if now >= self._doubt_until:
+        if (self._last_read_at or 0.0) >= self._doubt_until:
             return False
         instance = registration.instance
         entry = self._entries.get(instance.server_id)
         is_ready = registration.state is ServerState.ready
         if entry is None:
-            removed_start, _ = self._removed.get(instance.server_id, (-1, now))
+            removed_start, _ = self._removed.get(instance.server_id, (-1, 0.0))
             return is_ready and instance.started_ms <= removed_start
         known = entry.registration
         if instance.started_ms != known.instance.started_ms:
@@ -183,7 +183,8 @@
         """Yield the current entries, and drop those that expired."""
         for server_id, entry in tuple(self._entries.items()):
             if entry.expires_at is not None and entry.expires_at < now:
-                self._drop(server_id, now)
+                # No word of its server: the store may have lost the entry.
+                self._entries.pop(server_id)
                 continue
             yield entry
 
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -320,9 +320,10 @@
             self._registry.note_store_read(
                 now if fresh_at is None else fresh_at
             )
-        instances_added = self.server_records.release(now)
+        instances_added = []
         if stream == SERVERS_STREAM:
-            instances_added += self.server_records.apply(entries, now)
+            instances_added = self.server_records.apply(entries, now)
+            instances_added += self.server_records.release()
         else:
             self._apply_configurations(entries)
         for instance in instances_added:
--- a/src/burdockledge/relay/_server_records.py
+++ b/src/burdockledge/relay/_server_records.py
@@ -47,12 +47,12 @@
         registered = [self._apply(entry, now) for entry in entries]
         return [instance for instance in registered if instance is not None]
 
-    def release(self, now: float) -> list[ServerInstance]:
+    def release(self) -> list[ServerInstance]:
         """Register what is no longer in doubt; return those instances."""
         settled = [
             server_id
             for server_id, registration in self._held.items()
-            if not self._registry.is_in_doubt(registration, now)
+            if not self._registry.is_in_doubt(registration)
         ]
         registered = [
             self._register(self._held.pop(server_id)) for server_id in settled
@@ -70,7 +70,7 @@
             if self._registry.remove(entry.key, now):
                 _log.info('Server is gone.', server=entry.key)
             return None
-        if self._registry.is_in_doubt(registration, now):
+        if self._registry.is_in_doubt(registration):
             self._held[entry.key] = registration
             _log.info(
                 'Registration is in doubt.',
