Derive whether a connection was in use before

Connections to servers kept a flag of their own for what the ids that they carry tell, and those of serve counted them: one property says it for both.

No change of behaviour.

--- a/src/burdockledge/backends/_sessions.py
+++ b/src/burdockledge/backends/_sessions.py
@@ -39,7 +39,7 @@
             # The log and the host list are called without ids.
             return True
         response_id = message.headers.get(REQUEST_ID_HEADER)
-        if response_id is None and self.request_count > 1:
+        if response_id is None and self.is_reused:
             self.reject('Answer lacks its id.')
         if response_id != self.request_id:
             self.force_close()
--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -72,6 +72,11 @@
         """The number of requests with an id that the connection carried."""
         return len(self._carried_ids)
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether a request with an id came before the pending one."""
+        return len(self._carried_ids) > 1
+
     def begin_request(self, request_id: str | None) -> bool:
         """
         Return whether the connection may carry a request.
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -33,7 +33,6 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import AsyncIterator, Callable, Mapping
 
     from aiohttp.connector import Connection
@@ -69,11 +68,6 @@
 class _ServerConnection(BoundedConnection):
     """A client connection that accepts only the response to its request."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Create a connection on which nothing was answered."""
-        super().__init__(loop)
-        self._has_answered = False
-
     def is_answer(self, message: RawResponseMessage) -> bool:
         """
         Return whether a response answers the pending request.
@@ -87,7 +81,7 @@
         """
         response_ids = set(message.headers.getall(names.REQUEST_ID, ()))
         if not response_ids:
-            if self._has_answered:
+            if self.is_reused:
                 self.reject('Answer lacks its id.')
             self.force_close()
         elif self.request_id not in response_ids:
@@ -100,7 +94,6 @@
             return False
         elif len(response_ids) > 1:
             self.reject('Answer has several ids.')
-        self._has_answered = True
         if _proves_not_run(message.code, message.headers):
             _log.info(
                 'Server refuses a call.',
