Spread the calls of all hosts after a restore by one rule

Registrations and reads of kept evidence each had a spacing of 50 ms and the same sum; kept suspects and clearances were aged by two equal functions.

--- a/src/burdockledge/replication/_evidence_keeper.py
+++ b/src/burdockledge/replication/_evidence_keeper.py
@@ -6,12 +6,13 @@
 import math
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
 from result import Err
 
 from burdockledge.hashing import rank
 from burdockledge.kernel import TaskGroupService
+from burdockledge.replication._schedule import turn_delay_seconds
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
     Clearance,
@@ -31,6 +32,8 @@
 
 _log = make_logger('keeper')
 
+EntryT = TypeVar('EntryT', CrashSuspect, Clearance)
+
 _RETRY_SECONDS: Final = 1.0
 # How often a host looks for blocks that it has to write while there are any.
 _CHECK_SECONDS: Final = 1.0
@@ -38,9 +41,6 @@
 # that much younger than it seems, so that no clearance from before it voids it.
 _MAX_CLOCK_ERROR_SECONDS: Final = 5.0
 _MS_PER_SECOND: Final = 1000
-# Hosts that read again at the same time spread their reads so that the store
-# gets one in this time.
-_READ_SPACING_SECONDS: Final = 0.05
 
 
 class EvidenceKeeper(TaskGroupService):
@@ -90,9 +90,8 @@
         """
         self._restore_count += 1
         self._kept.difference_update(self._quarantine.blocked)
-        spread = len(self.list_hosts()) * _READ_SPACING_SECONDS
-        self._read_due_at = (
-            self._clock.monotonic() + spread * self._random.random()
+        self._read_due_at = self._clock.monotonic() + turn_delay_seconds(
+            len(self.list_hosts()), self._random.random()
         )
 
     async def start(self) -> None:
@@ -148,8 +147,8 @@
             return None
         elapsed_ms = self._elapsed_ms(note)
         self._quarantine.restore(
-            [_aged_suspect(one, elapsed_ms) for one in note.suspects],
-            [_aged_clearance(one, elapsed_ms) for one in note.clearances],
+            [_age(one, elapsed_ms) for one in note.suspects],
+            [_age(one, elapsed_ms) for one in note.clearances],
             self._clock.monotonic(),
         )
         # A record without a time, of a former version, is written again.
@@ -205,12 +204,9 @@
         await asyncio.sleep(_RETRY_SECONDS * (1 + self._random.random()))
 
 
-def _aged_suspect(suspect: CrashSuspect, elapsed_ms: int) -> CrashSuspect:
-    return replace(suspect, age_ms=suspect.age_ms + elapsed_ms)
-
-
-def _aged_clearance(clearance: Clearance, elapsed_ms: int) -> Clearance:
-    return replace(clearance, age_ms=clearance.age_ms + elapsed_ms)
+def _age(entry: EntryT, elapsed_ms: int) -> EntryT:
+    """Return an entry of evidence as it is some time later."""
+    return replace(entry, age_ms=entry.age_ms + elapsed_ms)
 
 
 __all__ = ('EvidenceKeeper',)
--- a/src/burdockledge/replication/_reader.py
+++ b/src/burdockledge/replication/_reader.py
@@ -11,7 +11,10 @@
 from result import Err
 
 from burdockledge.kernel import TaskGroupService
-from burdockledge.replication._schedule import ReadSchedule
+from burdockledge.replication._schedule import (
+    ReadSchedule,
+    turn_delay_seconds,
+)
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -31,9 +34,6 @@
 # store is back.
 _TURN_SLEEP_SECONDS: Final = 0.1
 _REGISTRATION_RETRY_SECONDS: Final = 1.0
-# Hosts that register again at the same time spread their writes so that the
-# store gets one in this time.
-_REGISTRATION_SPACING_SECONDS: Final = 0.05
 # The store is logged as lost after this many failed reads in a row.
 _FAILURES_UNTIL_LOST: Final = 2
 
@@ -197,8 +197,10 @@
         self._is_registering = False
 
     async def _register_again(self) -> None:
-        spread = len(self.list_hosts()) * _REGISTRATION_SPACING_SECONDS
-        await asyncio.sleep(spread * self._random.random())
+        host_count = len(self.list_hosts())
+        await asyncio.sleep(
+            turn_delay_seconds(host_count, self._random.random())
+        )
         await self._register()
         _log.info('Host is registered again.')
 
--- a/src/burdockledge/replication/_schedule.py
+++ b/src/burdockledge/replication/_schedule.py
@@ -16,6 +16,18 @@
 _MIN_RETRY_SECONDS: Final = 0.25
 _MAX_RETRY_SECONDS: Final = 1.5
 _MAX_DOUBLINGS: Final = 8
+# Hosts that call the store for the same reason at the same time spread their
+# calls so that it gets one in this time.
+_CALL_SPACING_SECONDS: Final = 0.05
+
+
+def turn_delay_seconds(host_count: int, jitter: float) -> float:
+    """
+    Return when a host takes its turn at calls that all hosts have to make.
+
+    :param jitter: a random number from 0 to 1.
+    """
+    return host_count * _CALL_SPACING_SECONDS * jitter
 
 
 class ReadSchedule:
@@ -94,4 +106,4 @@
         self._consecutive_failures = 0
 
 
-__all__ = ('ReadSchedule',)
+__all__ = ('ReadSchedule', 'turn_delay_seconds')
