Forget removed servers without a copy of all of them

Each removal copied the whole table to drop its oldest entries, and moved a key to an end at which a new one stands already.

No change of behaviour; tests/registry and test_host_churn.py pass as they were.

--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -75,8 +74,9 @@
         self._last_read_at: float | None = None
         self._grace_until = 0.0
         self._doubt_until = 0.0
-        # The start of each removed server and when it was removed, by its id.
-        self._removed: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # The start of each removed server and when it was removed, by its id;
+        # the oldest one first.
+        self._removed: dict[str, tuple[int, float]] = {}
 
     def note_restore(self, now: float) -> None:
         """Note that the records are now those of a restored store."""
@@ -192,11 +192,10 @@
         entry = self._entries.pop(server_id)
         started_ms = entry.registration.instance.started_ms
         self._removed[server_id] = (started_ms, now)
-        self._removed.move_to_end(server_id)
-        for removed_id, (_, removed_at) in tuple(self._removed.items()):
-            if removed_at >= now - _REMOVED_MEMORY_SECONDS:
-                break
-            self._removed.pop(removed_id)
+        oldest_id = next(iter(self._removed))
+        while self._removed[oldest_id][1] < now - _REMOVED_MEMORY_SECONDS:
+            self._removed.pop(oldest_id)
+            oldest_id = next(iter(self._removed))
 
 
 __all__ = (
