Name a later era and a replacement of all records apart

A flag named after a new era also stood for a correction within one, and the era of a tail was compared twice.

--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -107,7 +107,7 @@
                 update = await self._read_tail(stream, topic, position, era)
             if update is None:
                 update = await self._read_newest(stream, topic)
-            _require_era(update.era, era)
+                _require_era(update.era, era)
         except _StoreError as error:
             return Err(error.failure)
         age_ms = (
--- a/src/burdockledge/replication/_state.py
+++ b/src/burdockledge/replication/_state.py
@@ -41,8 +41,8 @@
     All records below the offset ``position`` of the era ``era`` of the store
     are merged. An offset orders records within its era only; the two together,
     ``place``, never decrease, but where hosts that know no eras named them.
-    The records mirror what the store holds, also
-    where it has come back with older ones.
+    The records mirror what the store holds, also where it has come back with
+    older ones.
     ``fresh_at`` is the latest time, in seconds of the monotonic clock, at
     which the stream is known to have ended at ``position``.
     """
@@ -99,13 +99,12 @@
         is_correction = is_proof and self._is_position_doubtful
         if place < self.place and not (is_correction and place[0] == self.era):
             return MergeResult()
-        is_new_era = place[0] > self.era or is_correction
-        is_restore = (
-            place[0] > self.era and self.is_known and self.era != NO_ERA
-        )
+        is_later_era = place[0] > self.era
+        is_restore = is_later_era and self.is_known and self.era != NO_ERA
         if update.is_whole:
-            changed = self._merge_whole(update, is_new_era=is_new_era)
-        elif is_new_era or not self.is_known or update.start > self.position:
+            replaces_all = is_later_era or is_correction
+            changed = self._merge_whole(update, replaces_all=replaces_all)
+        elif is_later_era or not self.is_known or update.start > self.position:
             return MergeResult(has_gap=True)
         else:
             changed = self._merge_tail(update)
@@ -157,7 +156,7 @@
         return min(max(0, age_ms), MAX_AGE_MS)
 
     def _merge_whole(
-        self, update: StreamUpdate, *, is_new_era: bool
+        self, update: StreamUpdate, *, replaces_all: bool
     ) -> tuple[StreamEntry, ...]:
         keys = {entry.key for entry in update.entries}
         self._removals_complete_from = update.end
@@ -170,9 +169,9 @@
             entry
             for entry in update.entries
             if entry.content is not None
-            and (is_new_era or self._is_newer(entry))
+            and (replaces_all or self._is_newer(entry))
         ]
-        if is_new_era:
+        if replaces_all:
             self._removals.clear()
         return self._apply((*removals, *newer))
 
