Encode a note again only if it is forwarded

A note that came in fragments was encoded before it was known whether the host forwards it. The test hands over the note in place of its host's name; its assertions stay.

No change of behaviour.

--- a/src/burdockledge/replication/_call_events.py
+++ b/src/burdockledge/replication/_call_events.py
@@ -13,6 +13,7 @@
     CallHeard,
     CallStarted,
     Note,
+    encode_note,
 )
 
 if TYPE_CHECKING:
@@ -68,16 +69,19 @@
         self._pending_note.ended.append(call)
         self._flush_within(_END_DELAY_SECONDS)
 
-    def forward(self, host: str, encoded: bytes) -> None:
+    def forward(self, note: Note, encoded: bytes | None) -> None:
         """
         Forward a note of a host in another group to the own group.
 
-        :param encoded: the note as it came, with what later versions add.
+        :param encoded: the note as it came, with what later versions add; None
+            if it came in fragments.
         """
         groups = self._peers.groups
-        if not groups.neighbour_addresses or not groups.is_in_other_group(host):
+        if not groups.neighbour_addresses or not groups.is_in_other_group(
+            note.host
+        ):
             return
-        self._pending_forwards.append(encoded)
+        self._pending_forwards.append(encoded or encode_note(note))
         if self._forward_timer is None:
             self._forward_timer = asyncio.get_running_loop().call_later(
                 self._min_delay_seconds(), self._flush_forwards
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -29,7 +29,6 @@
     StreamUpdate,
     WireError,
     decode_note,
-    encode_note,
     encode_note_datagrams,
 )
 
@@ -281,7 +280,7 @@
         if note.updates or note.pulls:
             self._handle_streams(note, source)
         if note.has_call_events:
-            self.call_events.forward(note.host, encoded or encode_note(note))
+            self.call_events.forward(note, encoded)
         if note.has_evidence or note.evidence_digest is not None:
             self._handle_evidence(note, source)
         if self.on_call_events is None:
--- a/tests/replication/test_call_events.py
+++ b/tests/replication/test_call_events.py
@@ -22,7 +22,7 @@
 
     async def forward() -> None:
         for peer in peers[1:]:
-            sender.forward(peer.host, peer.host.encode() + b' and more')
+            sender.forward(Note(peer.host), peer.host.encode() + b' and more')
         await asyncio.sleep(1)
 
     loop = VirtualTimeLoop()
