Hand the gauges what they show, not the host

host.py and host_gauges.py named each other: the gauges took the whole host, from which each function picked its parts. The composition root now hands each group its parts, and the gauges of limits moved to the others.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from dataclasses import replace
+from functools import partial
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Final
 
@@ -12,7 +13,12 @@
 
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
-from burdockledge.host_gauges import register_gauges
+from burdockledge.host_gauges import (
+    register_knowledge,
+    register_resources,
+    register_servers,
+    show_limit,
+)
 from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
@@ -48,9 +54,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from burdockledge.kernel import TaskGroupService
     from burdockledge.quarantine import QuarantineEvent
     from burdockledge.relay import RouteIndex
-    from burdockledge.scheduling import LimitChange
     from burdockledge.settings import RelayHostSettings
 
 _log = make_logger('host')
@@ -165,16 +171,16 @@
         )
         self.clock = clock
         self._connect_components()
-        register_gauges(self)
-        self.kernel = Kernel()
-        for service in (
+        services = (
             self.membership,
             self.exchange,
             self.store_reader,
             self.evidence_keeper,
-            # Stops first: its calls use the other services.
-            self.front,
-        ):
+        )
+        self._register_gauges(services)
+        self.kernel = Kernel()
+        # The front stops first: its calls use the other services.
+        for service in (*services, self.front):
             self.kernel.register(service)
 
     async def start(self) -> None:
@@ -257,11 +263,25 @@
         limits = self.routing_state.limits
         limits.host_count = self.host_count
         limits.limits.share = self._reachable_share
-        limits.on_change = self._update_limit_gauges
+        limits.on_change = partial(show_limit, self.metrics)
         self.routing_state.host_count = self.host_count
         self.routing_state.on_routes = self._on_routes
         self.routing_state.on_restore = self._on_restore
 
+    def _register_gauges(self, services: tuple[TaskGroupService, ...]) -> None:
+        """Register every gauge; they are read at each scrape."""
+        register_resources(self.metrics, self.relay, services, self.host_count)
+        register_servers(
+            self.metrics, self.routing_state, self.server_client, self.clock
+        )
+        register_knowledge(
+            self.metrics,
+            self.routing_state,
+            self.store_reader,
+            self.exchange,
+            self.clock,
+        )
+
     def _on_restore(self) -> None:
         self.store_reader.note_restore()
         self.evidence_keeper.note_restore()
@@ -305,13 +325,6 @@
         reachable = len(self.membership.table.alive_or_suspect())
         return min(1.0, max(1, reachable) / max(1, self.host_count()))
 
-    def _update_limit_gauges(self, change: LimitChange) -> None:
-        labels = {'server': change.instance_id}
-        if change.after is None:
-            self.metrics.drop_gauge('server_limit', **labels)
-            return
-        self.metrics.set_gauge('server_limit', change.after, **labels)
-
     def _on_routes(self, routes: RouteIndex) -> None:
         self.front.apply_limits(routes.document.limits)
         self.metrics.retain(
