--- /dev/null
+++ b/src/burdockledge/duties/__init__.py
@@ -0,0 +1,27 @@
+"""Work that one host does for all of them, under a lease in the store."""
+
+from __future__ import annotations
+
+from burdockledge.duties._ports import (
+    CallOutcome,
+    Duty,
+    DutyApi,
+    DutyStore,
+    FenceNumber,
+    Lease,
+    StoreFailure,
+    StoreRecord,
+    StoreSnapshot,
+)
+
+__all__ = (
+    'CallOutcome',
+    'Duty',
+    'DutyApi',
+    'DutyStore',
+    'FenceNumber',
+    'Lease',
+    'StoreFailure',
+    'StoreRecord',
+    'StoreSnapshot',
+)
--- a/src/burdockledge/settings/_models.py
+++ b/src/burdockledge/settings/_models.py
@@ -81,6 +81,27 @@
         return self
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """
+    Settings of the duties that one host does for all of them.
+
+    ``api_address`` is the ``IP:port`` of the platform's API, and
+    ``calls_per_second`` what it takes from all hosts together. With
+    ``checks_fence_numbers`` it refuses calls of former holders. Usage of a
+    window of ``window_seconds`` is due ``usage_late_seconds`` after its end.
+    """
+
+    api_address: str
+    reports_usage: bool
+    orders_servers: bool
+    calls_per_second: float
+    checks_fence_numbers: bool
+    lease_seconds: float
+    window_seconds: float
+    usage_late_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class RelayHostSettings:
     """
@@ -91,7 +112,10 @@
     time until a new configuration is in force, ``drain_seconds`` the time
     until a draining server receives no new calls. ``grace_seconds`` is the
     time between the request to stop and the kill. The retry budget
-    (``retry_*``) is shared by all hosts.
+    (``retry_*``) is shared by all hosts. ``duties`` is None if the deployment
+    names none. With ``sheds_load``, calls may be refused for lack of room, and
+    servers are chosen with regard to it. ``memory_bytes`` and
+    ``max_descriptors`` are the limits of the process, None if unknown.
     """
 
     host: str
@@ -111,6 +135,10 @@
     retry_slack: float
     retry_window_seconds: float
     directory_seconds: float
+    duties: DutySettings | None = None
+    sheds_load: bool = False
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
 
 class ServeSettings(TlsSettings):
@@ -233,6 +261,7 @@
     'MAX_PORT',
     'Address',
     'CommandSettings',
+    'DutySettings',
     'RelayHostSettings',
     'ServeSettings',
     'TlsSettings',
