Read spot servers and autoscale, and count the demand of services

Records of servers and services had no fields for ordering servers. A service now has its bounds and prices, a server says whether it is a spot server and when it leaves; a field of another type is logged once and left out, and the rest of the record holds. Each host counts arrivals, tokens to prefill and output limits by half second for the services with autoscale, in a few additions a call. A stream that would outlast a leaving server is not placed there.

--- a/src/burdockledge/calls/__init__.py
+++ b/src/burdockledge/calls/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdockledge.calls._types import (
+    AutoscaleConfiguration,
     CallerLimits,
     EngineConfiguration,
     ForwardedCall,
@@ -19,6 +20,7 @@
 )
 
 __all__ = (
+    'AutoscaleConfiguration',
     'CallerLimits',
     'EngineConfiguration',
     'ForwardedCall',
--- a/src/burdockledge/calls/_types.py
+++ b/src/burdockledge/calls/_types.py
@@ -87,12 +87,34 @@
     cache_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class AutoscaleConfiguration:
+    """
+    The bounds and prices within which servers of a service are ordered.
+
+    ``min_servers`` and ``max_servers`` are for a data centre, spot and other
+    servers together. ``prices`` are by data centre, for a server and second;
+    ``spot_price`` is that of a spot server in relation, None if missing.
+    """
+
+    min_servers: int
+    max_servers: int
+    boot_seconds: float
+    spot_price: float | None
+    prices: dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceConfiguration:
-    """The configuration of a service; a plain one has no ``engine``."""
+    """
+    The configuration of a service; a plain one has no ``engine``.
+
+    Without ``autoscale``, no servers are ordered.
+    """
 
     name: str
     engine: EngineConfiguration | None
+    autoscale: AutoscaleConfiguration | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +207,8 @@
 
     ``server_id`` is kept over restarts; ``started_ms`` is the start in Unix
     milliseconds, and ``instance_id`` joins the two. ``address`` is
-    ``HOST:PORT``, ``slots`` how many calls the server runs at a time.
+    ``HOST:PORT``, ``slots`` how many calls the server runs at a time. The
+    platform may reclaim a spot server at short notice.
     """
 
     server_id: str
@@ -194,6 +217,7 @@
     address: str
     data_centre: str
     slots: int
+    is_spot: bool = False
     instance_id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -204,6 +228,7 @@
 
 
 __all__ = (
+    'AutoscaleConfiguration',
     'CallerLimits',
     'EngineConfiguration',
     'ForwardedCall',
--- a/src/burdockledge/platform/_documents.py
+++ b/src/burdockledge/platform/_documents.py
@@ -25,6 +25,7 @@
 )
 
 from burdockledge.calls import (
+    AutoscaleConfiguration,
     CallerLimits,
     EngineConfiguration,
     Route,
@@ -57,6 +58,13 @@
 _MAX_INT64: Final = (1 << 63) - 1
 # Larger weights are equal: their sum stays finite.
 _MAX_WEIGHT: Final = 10**9
+# Longer boots are errors of the configuration.
+_MAX_BOOT_SECONDS: Final = 3600
+# Bounds the memory of faults that were logged once.
+_MAX_LOGGED_FAULTS: Final = 1000
+_LEAVE_TIME: Final[TypeAdapter[int]] = TypeAdapter(
+    Annotated[StrictInt, Field(ge=0, le=_MAX_INT64)]
+)
 _ANY_JSON: Final[TypeAdapter[Any]] = TypeAdapter(Any)
 
 
@@ -115,9 +123,24 @@
     kv_capacity: _Count = 0
 
 
+class _Autoscale(_Model):
+    model_config = ConfigDict(frozen=True, strict=True, allow_inf_nan=False)
+
+    # For a data centre, spot and other servers together.
+    min: Annotated[StrictInt, Field(ge=0, le=_MAX_INT32)]
+    max: Annotated[StrictInt, Field(ge=1, le=_MAX_INT32)]
+    boot_s: Annotated[float, Field(ge=0, le=_MAX_BOOT_SECONDS)] = 4.0
+    # Of a spot server, in relation to another one.
+    spot_price: Annotated[float, Field(gt=0, le=1)] | None = None
+    # Of a server and second, by data centre.
+    zone_prices: dict[str, Annotated[float, Field(gt=0, le=_MAX_WEIGHT)]] = {}
+
+
 class _Service(_Model):
     name: str
     engine: _Engine | None = None
+    # Validated apart: an error must not invalidate the configuration.
+    autoscale: Any = None
 
 
 class _Team(_Model):
@@ -168,11 +191,20 @@
     # Start time of the server in Unix milliseconds; orders the starts of
     # servers that use the same id.
     born: Annotated[StrictInt, Field(ge=0, le=_MAX_INT64)] = 0
+    # Whether the platform may reclaim the server at short notice, and the
+    # Unix milliseconds at which it leaves. Validated apart, as a server whose
+    # optional fields can not be read still serves.
+    spot: Any = None
+    leaves_ms: Any = None
 
 
 class PlatformDecoder(RecordDecoder):
     """Decodes the records that the operator and the servers write."""
 
+    def __init__(self) -> None:
+        """Create a decoder that has logged no faults of optional fields."""
+        self._logged_faults: set[tuple[str, str, str]] = set()
+
     def decode_routing(
         self, key: str, content: bytes
     ) -> RoutingDocument | None:
@@ -190,7 +222,7 @@
             version=decoded.version,
             routes=tuple(_to_route(route) for route in decoded.routes),
             services={
-                service.name: _to_service(service)
+                service.name: self._to_service(service)
                 for service in decoded.backends
             },
             teams_by_api_key=_teams_by_api_key(decoded.tenants or ()),
@@ -229,8 +261,67 @@
                 address=decoded.address,
                 data_centre=decoded.zone,
                 slots=decoded.slots,
+                is_spot=self._is_spot(decoded),
             ),
             ServerState(decoded.state),
+            leaves_ms=self._leaves_ms(decoded),
+        )
+
+    def _to_service(self, service: _Service) -> ServiceConfiguration:
+        engine = service.engine
+        return ServiceConfiguration(
+            name=service.name,
+            engine=None
+            if engine is None
+            else EngineConfiguration(engine.kv_capacity),
+            autoscale=self._to_autoscale(service),
+        )
+
+    def _to_autoscale(self, service: _Service) -> AutoscaleConfiguration | None:
+        """Return the configuration of orders, None if it can not be read."""
+        if service.autoscale is None:
+            return None
+        try:
+            decoded = _Autoscale.model_validate(service.autoscale)
+        except ValidationError as error:
+            self._log_fault(service.name, 'autoscale', _describe_error(error))
+            return None
+        return AutoscaleConfiguration(
+            min_servers=decoded.min,
+            max_servers=decoded.max,
+            boot_seconds=decoded.boot_s,
+            spot_price=decoded.spot_price,
+            prices=dict(decoded.zone_prices),
+        )
+
+    def _is_spot(self, server: _Server) -> bool:
+        if not isinstance(server.spot, bool | None):
+            self._log_fault(server.server_id, 'spot', 'it is no boolean')
+        return server.spot is True
+
+    def _leaves_ms(self, server: _Server) -> int | None:
+        if server.leaves_ms is None:
+            return None
+        try:
+            return _LEAVE_TIME.validate_python(server.leaves_ms)
+        except ValidationError as error:
+            why = error.errors()[0]['msg']
+            self._log_fault(server.server_id, 'leaves_ms', why)
+            return None
+
+    def _log_fault(self, name: str, field: str, why: str) -> None:
+        """Log a fault once, as records with it are read again and again."""
+        fault = (name, field, why)
+        if fault in self._logged_faults:
+            return
+        if len(self._logged_faults) >= _MAX_LOGGED_FAULTS:
+            self._logged_faults.clear()
+        self._logged_faults.add(fault)
+        _log.warning(
+            'Field can not be read, it is left out.',
+            name=name,
+            field=field,
+            why=why,
         )
 
 
@@ -238,7 +329,8 @@
     """
     Return a server record without the fields that each heartbeat changes.
 
-    This way, a heartbeat alone does not count as a change of the record.
+    This way, a heartbeat alone does not count as a change of the record. The
+    time at which a server leaves is kept, as hosts must learn it.
     """
     try:
         # The parser of the models: unlike json.loads, it limits the depth of
@@ -286,16 +378,6 @@
     )
 
 
-def _to_service(service: _Service) -> ServiceConfiguration:
-    engine = service.engine
-    return ServiceConfiguration(
-        name=service.name,
-        engine=None
-        if engine is None
-        else EngineConfiguration(engine.kv_capacity),
-    )
-
-
 def _teams_by_api_key(teams: tuple[_Team, ...]) -> dict[str, Team]:
     return {
         key: Team(team.name, team.priority)
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -37,10 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Registration:
-    """What a server registered: its instance and its state."""
+    """
+    What a server registered: its instance and its state.
+
+    ``leaves_ms`` is the Unix time at which it leaves, None if it named none.
+    """
 
     instance: ServerInstance
     state: ServerState
+    leaves_ms: int | None = None
 
 
 @dataclass(slots=True)
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.calls import Prompt
+from burdockledge.calls import Prompt, RouteKind
 from burdockledge.relay._call_codec import decode_call_start, encode_call_start
 from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
 from burdockledge.relay._part_guard import PartGuard
@@ -17,7 +18,7 @@
 )
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
-from burdockledge.relay._server_gate import ServerGate
+from burdockledge.relay._server_gate import Obstacle, Selection, ServerGate
 from burdockledge.relay._server_records import ServerRecords
 from burdockledge.scheduling import (
     CallResult,
@@ -87,7 +88,7 @@
         self._data_centre = data_centre
         self._decoder = decoder
         self._registry = registry
-        self.server_records = ServerRecords(decoder, registry)
+        self.server_records = ServerRecords(decoder, registry, clock)
         self._exchange = exchange
         self._budgets = RetryBudgets(retry_settings)
         self._clock = clock
@@ -113,6 +114,11 @@
         exchange.on_change = self._apply_records
         exchange.on_call_events = self._apply_call_events
 
+    @property
+    def loads(self) -> LoadTracker:
+        """The loads of the servers, and what their services' calls ask."""
+        return self._loads
+
     async def wait_ready(self) -> None:
         """Wait until the routes and the servers are known."""
         await self._ready.wait()
@@ -162,6 +168,8 @@
             route.pause_target_seconds,
         )
         selection = self.gate.select(service, tried_instance_ids, now)
+        if self.server_records.departures.has_any:
+            selection = self._without_departures(selection, route, prompt, now)
         choice = self._policy.choose(
             selection.instances,
             request,
@@ -296,6 +304,23 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
+    def _without_departures(
+        self, selection: Selection, route: Route, prompt: Prompt, now: float
+    ) -> Selection:
+        """Leave out servers that a stream would outlast."""
+        if route.kind is not RouteKind.stream:
+            return selection
+        lasting = self.server_records.departures.lasting(
+            selection.instances,
+            lambda instance: self._loads.load_of(
+                instance.instance_id
+            ).stream_seconds(prompt, now),
+            now,
+        )
+        left_out = Counter(selection.left_out)
+        left_out[Obstacle.departure] += len(selection.instances) - len(lasting)
+        return Selection(lasting, +left_out)
+
     def _service_names(self) -> tuple[str, ...]:
         routes = self._routes
         return () if routes is None else tuple(routes.document.services)
@@ -342,6 +367,7 @@
             instance_ids = {instance.instance_id for instance in instances}
             self._health.retain(instance_ids)
             self.limits.retain(instance_ids)
+            self.server_records.departures.retain(instance_ids)
 
     def _note_restore(self, stream: str) -> None:
         if stream == SERVERS_STREAM:
@@ -374,6 +400,13 @@
             _log.warning('Older version left out.', version=document.version)
             return
         self._routes = RouteIndex(document)
+        self._loads.count_demand(
+            [
+                service.name
+                for service in document.services.values()
+                if service.autoscale is not None
+            ]
+        )
         now = self._clock.monotonic()
         self._routes_since = now
         self._budgets.drop_unused(now)
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -29,6 +29,7 @@
     pause = 'it asked for a pause'
     limit = 'it is at the limit that it names'
     recovering = 'no answer has come since its pause'
+    departure = 'it leaves before the stream would end'
     unregistered = 'its registration is gone or draining'
 
 
--- a/src/burdockledge/relay/_server_records.py
+++ b/src/burdockledge/relay/_server_records.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from burdockledge.scheduling import ServerDepartures
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from burdockledge.calls import ServerInstance
+    from burdockledge.clock import Clock
     from burdockledge.registry import Registration, ServerRegistry
     from burdockledge.relay._record_decoder import RecordDecoder
     from burdockledge.wire import StreamEntry
@@ -28,11 +30,17 @@
     """
 
     def __init__(
-        self, decoder: RecordDecoder, registry: ServerRegistry
+        self, decoder: RecordDecoder, registry: ServerRegistry, clock: Clock
     ) -> None:
-        """Apply records to a registry."""
+        """
+        Apply records to a registry.
+
+        :param clock: tells when a server leaves that has announced the time.
+        """
         self._decoder = decoder
         self._registry = registry
+        self._clock = clock
+        self.departures = ServerDepartures()
         self._held: dict[str, Registration] = {}
 
     @property
@@ -85,6 +93,12 @@
         if not self._registry.register(registration):
             return None
         instance = registration.instance
+        self.departures.note(
+            instance.instance_id,
+            registration.leaves_ms,
+            self._clock.monotonic(),
+            self._clock.wall_ms(),
+        )
         _log.info(
             'Server is registered.',
             server=instance.server_id,
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from burdockledge.scheduling._demand import (
+    HISTORY_SECONDS,
+    PERIOD_SECONDS,
+    ServiceDemand,
+    Work,
+    total_work,
+)
+from burdockledge.scheduling._departures import ServerDepartures
 from burdockledge.scheduling._health import CallResult, HealthTracker
 from burdockledge.scheduling._load import (
     DEFAULT_CALL_EXPIRY_SECONDS,
@@ -25,6 +33,8 @@
 __all__ = (
     'DEFAULT_CALL_EXPIRY_SECONDS',
     'DEFAULT_PREFILL_TOKENS_PER_SECOND',
+    'HISTORY_SECONDS',
+    'PERIOD_SECONDS',
     'CallResult',
     'CallStart',
     'HealthTracker',
@@ -34,9 +44,13 @@
     'PlacementPolicy',
     'PlacementRequest',
     'PrefixCacheEstimate',
+    'ServerDepartures',
     'ServerLoad',
     'ServerNotice',
     'ServerNotices',
     'ServerRateLimits',
+    'ServiceDemand',
     'ServiceTiming',
+    'Work',
+    'total_work',
 )
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+from burdockledge.scheduling._demand import ServiceDemand
 from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
 from burdockledge.scheduling._timing import ServiceTiming
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from burdockledge.calls import Prompt, ServerInstance
 
@@ -190,6 +191,22 @@
         """Return the mean pause of a stream, without prompts in prefill."""
         return self._pause_ratio * self.timing.pause_seconds(running_calls)
 
+    def stream_seconds(self, prompt: Prompt, now: float) -> float:
+        """
+        Return the expected duration of a new stream, rather long than short.
+
+        The prompt counts as not cached, and all prompts that are pending as
+        ahead of it.
+        """
+        running_calls = self.running_calls(now) + 1
+        return (
+            self.backlog_seconds(None, now)
+            + self.timing.first_event_seconds
+            + prompt.input_tokens / self.prefill_tokens_per_second
+            + self.timing.expected_events(prompt.max_output_tokens)
+            * self.pause_seconds(running_calls)
+        )
+
     def expected_events(self, pause_target_seconds: float) -> float:
         """Return the usual number of events of streams with a pause target."""
         return self._stream_events.get(pause_target_seconds, 1.0)
@@ -295,6 +312,7 @@
         self._cache_sizes: dict[str, int] = {}
         self._services: dict[str, str] = {}
         self._timings: dict[str, ServiceTiming] = {}
+        self._demands: dict[str, ServiceDemand] = {}
         self._call_expiry_seconds = DEFAULT_CALL_EXPIRY_SECONDS
 
     def set_call_expiry(self, seconds: float) -> None:
@@ -326,6 +344,35 @@
     def start(self, call: CallStart, now: float) -> None:
         """Add a call that this host or another one sent."""
         self.load_of(call.instance_id).start(call, now)
+        if self._demands:
+            demand = self._demands.get(self._services.get(call.instance_id, ''))
+            if demand is not None:
+                demand.add(call, now)
+
+    def count_demand(self, services: Collection[str]) -> None:
+        """Count the demand of these services, and of no others."""
+        self._demands = {
+            service: self._demands.get(service) or ServiceDemand()
+            for service in services
+        }
+
+    def demand_of(self, service: str) -> ServiceDemand | None:
+        """Return the demand of a service, None if it is not counted."""
+        return self._demands.get(service)
+
+    def timing_of(self, service: str) -> ServiceTiming | None:
+        """Return what was learnt of a service, None before its first call."""
+        return self._timings.get(service)
+
+    def running_calls(
+        self, instances: Iterable[ServerInstance], now: float
+    ) -> int:
+        """Return the number of calls at these instances, without lost ones."""
+        return sum(
+            self._loads[instance.instance_id].running_calls(now)
+            for instance in instances
+            if instance.instance_id in self._loads
+        )
 
     def note_first_event(
         self, instance_id: str, call_id: int, now: float, seconds: float = 0
--- a/tests/relay/test_replicated_state.py
+++ b/tests/relay/test_replicated_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
@@ -145,3 +146,31 @@
         update = full_update(stream, engine=b'1')
         exchange.publish(replace(update, era=era))
         assert len(told) == count
+
+
+@pytest.mark.parametrize(
+    ('kind', 'is_left_out'),
+    [(RouteKind.stream, True), (RouteKind.safe, False)],
+)
+def test_a_stream_is_not_placed_where_it_would_be_cut(
+    kind: RouteKind, is_left_out: bool
+) -> None:
+    """Guards against streams at a ready server that soon leaves."""
+    state, exchange = routing_state()
+    exchange.publish(full_update(CONFIGURATION_STREAM, configuration=b'8000'))
+    exchange.publish(full_update(SERVERS_STREAM, leaves=b'a', stays=b'b'))
+    state.server_records.departures.note('leaves/1', 100, 0.0, 0)
+    route = replace(ROUTE, kind=kind)
+    chosen: Counter[str] = Counter()
+
+    async def place() -> None:
+        for number in range(40):
+            prompt = Prompt((PromptPart(number, 1000),), 1000, 500)
+            placement = state.place('model', route, 0, prompt, frozenset())
+            assert placement is not None
+            chosen[placement.instance.server_id] += 1
+            assert placement.left_out.get('departure', 0) == is_left_out
+
+    VirtualTimeLoop().run_until_complete(place())
+    assert chosen['stays']
+    assert bool(chosen['leaves']) != is_left_out
