Order servers by the demand of callers

No server was ordered at any load, and all were of the expensive kind. The new package estimates the demand of a service in servers, plans the servers of each data centre and kind, and orders them as a duty: spot servers first, normal ones leave as spot servers are registered, sizes grow at once and shrink in few steps. Counts are recorded before they are ordered and compared with the registered servers after, so that neither an answer nor a holder is trusted.

--- /dev/null
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -0,0 +1,131 @@
+"""The plan and the orders of one service under one lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockledge.autoscaling._faults import find_fault
+from burdockledge.autoscaling._order_book import OrderBook
+from burdockledge.autoscaling._planner import ServicePlanner
+from burdockledge.autoscaling._types import Plan, Pool, PoolState, ServerKind
+from burdockledge.duties import CallOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from burdockledge.autoscaling._records import OrderRecord
+    from burdockledge.autoscaling._types import ServiceView
+
+
+class ServiceOrders:
+    """
+    Joins the plan of a service with what was ordered.
+
+    Times are in seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        recorded: Mapping[Pool, OrderRecord],
+        boot_seconds: float,
+        now: float,
+    ) -> None:
+        """Go on from the records of earlier holders, if any."""
+        self._recorded = dict(recorded)
+        self._book = OrderBook(
+            {pool: record.count for pool, record in recorded.items()},
+            boot_seconds,
+            now,
+        )
+        self._data_centres = {pool.data_centre for pool in recorded}
+        self._planner: ServicePlanner | None = None
+        self._planned: frozenset[str] = frozenset()
+
+    def fault(self, view: ServiceView) -> str | None:
+        """Return why nothing can be ordered, None if orders can be given."""
+        self._data_centres |= {
+            pool.data_centre for pool, ready in view.ready.items() if ready
+        }
+        return find_fault(view.autoscale, self._data_centres)
+
+    def plan(self, view: ServiceView, now: float) -> Plan:
+        """Return the plan for now, of a service without a fault."""
+        data_centres = frozenset(view.autoscale.prices)
+        if self._planner is None or self._planned != data_centres:
+            self._planner = ServicePlanner(
+                {name: self._first_size(name, view) for name in data_centres},
+                now,
+            )
+            self._planned = data_centres
+        return self._planner.plan(view, self._states(view, now), now)
+
+    def ordered(self, view: ServiceView, now: float) -> dict[Pool, int]:
+        """Return the counts that stand as ordered."""
+        return {
+            pool: state.ordered
+            for pool, state in self._states(view, now).items()
+        }
+
+    def due(
+        self, plan: Plan, view: ServiceView, now: float
+    ) -> list[tuple[Pool, int]]:
+        """Return the counts to order now, additions of spot servers first."""
+        states = self._states(view, now)
+        due = [
+            (pool, count)
+            for pool, count in plan.counts.items()
+            if {count} != {states[pool].ordered, states[pool].ready}
+            and self._book.may_order(pool, count, now)
+        ]
+        return sorted(
+            due,
+            key=lambda order: (
+                order[1] < states[order[0]].ordered,
+                order[0].kind is ServerKind.normal,
+            ),
+        )
+
+    def note(
+        self,
+        view: ServiceView,
+        pool: Pool,
+        count: int,
+        outcome: CallOutcome,
+        sent_at: float,
+    ) -> None:
+        """Note how an order ended."""
+        before = self._book.state(pool, view.ready.get(pool, 0), sent_at)
+        self._book.note(
+            pool, count, outcome, sent_at, view.autoscale.boot_seconds
+        )
+        is_standing = outcome in {CallOutcome.accepted, CallOutcome.unknown}
+        if is_standing and count > before.ordered and self._planner:
+            self._planner.note_addition(sent_at)
+
+    def _first_size(self, data_centre: str, view: ServiceView) -> int:
+        """Return the size that was planned before, else the present one."""
+        sizes = [
+            record.size
+            for pool, record in self._recorded.items()
+            if pool.data_centre == data_centre
+        ]
+        present = sum(
+            ready
+            for pool, ready in view.ready.items()
+            if pool.data_centre == data_centre
+        )
+        return max(sizes, default=present)
+
+    def _states(self, view: ServiceView, now: float) -> dict[Pool, PoolState]:
+        pools = [
+            Pool(name, kind)
+            for name in sorted(view.autoscale.prices)
+            for kind in ServerKind
+        ]
+        return {
+            pool: self._book.state(pool, view.ready.get(pool, 0), now)
+            for pool in pools
+        }
+
+
+__all__ = ('ServiceOrders',)
