Connect duties of one host to the store and the API

The composition root had no place for duties that one host does for all of them. host_duties.py creates their holder if the settings name duties, and has one function to which further duties are added. The adapters read and append to the topic of duties and send the calls of duties, each over its own connection and only while the lease holds. The holder itself claims nothing yet.

Single calls to the store move to a module of their own, as two clients use them now; what host.py derives from the settings moves to host_values.py.

--- a/src/burdockledge/duties/__init__.py
+++ b/src/burdockledge/duties/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from burdockledge.duties._holder import DutyHolder
 from burdockledge.duties._ports import (
     CallOutcome,
     Duty,
@@ -18,6 +19,7 @@
     'CallOutcome',
     'Duty',
     'DutyApi',
+    'DutyHolder',
     'DutyStore',
     'FenceNumber',
     'Lease',
--- a/src/burdockledge/duties/_ports.py
+++ b/src/burdockledge/duties/_ports.py
@@ -117,6 +117,10 @@
             written later; the next ``records`` tell.
         """
 
+    async def is_superseded(self) -> bool:
+        """Return whether the store shows a newer claim of another host."""
+        return False
+
     @abstractmethod
     def note_outcome(self, outcome: CallOutcome) -> None:
         """Record how a call ended; ``fenced`` ends the lease."""
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -11,8 +11,10 @@
 
 import aiohttp
 
+from burdockledge import host_values
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
+from burdockledge.host_duties import make_duty_holder
 from burdockledge.host_gauges import (
     register_knowledge,
     register_resources,
@@ -35,7 +37,6 @@
     STREAMS,
     Relay,
     ReplicatedRoutingState,
-    RetryBudgetSettings,
 )
 from burdockledge.replication import (
     EvidenceKeeper,
@@ -61,9 +62,6 @@
 
 _log = make_logger('host')
 
-# The period of store reads as a fraction of the shorter of two bounds: the time
-# to apply a configuration and the time to stop using a draining server.
-_READ_PERIOD_FRACTION: Final = 0.35
 # A stopping host serves at least this long, so that callers can refresh cached
 # directory responses that still list it.
 _MIN_DRAIN_SECONDS: Final = 3.0
@@ -85,6 +83,7 @@
     'peer_address',
     'exchange_port',
     'store_address',
+    'duties',
 )
 
 
@@ -120,7 +119,7 @@
             random,
             TimeLine(settings.host, clock, _MAX_TIME_LINE_EVENTS),
         )
-        exchange_address = _with_port(
+        exchange_address = host_values.with_port(
             settings.peer_address, settings.exchange_port
         )
         self.exchange = GossipExchange(
@@ -138,7 +137,7 @@
             STREAMS,
             store_client,
             self.exchange,
-            _read_period_seconds(settings),
+            host_values.read_period_seconds(settings),
             clock,
             random,
         )
@@ -148,7 +147,7 @@
             PlatformDecoder(),
             ServerRegistry(),
             self.exchange,
-            _retry_budget_settings(settings),
+            host_values.retry_budget_settings(settings),
             clock,
             random,
         )
@@ -171,12 +170,15 @@
         )
         self.clock = clock
         self._connect_components()
-        services = (
+        self.duty_holder = make_duty_holder(self, session, random)
+        services: tuple[TaskGroupService, ...] = (
             self.membership,
             self.exchange,
             self.store_reader,
             self.evidence_keeper,
         )
+        if self.duty_holder is not None:
+            services = (*services, self.duty_holder)
         self._register_gauges(services)
         self.kernel = Kernel()
         # The front stops first: its calls use the other services.
@@ -199,6 +201,8 @@
         platform kills the process.
         """
         self.membership.leave()
+        if self.duty_holder is not None:
+            self.duty_holder.release_soon()
         self.front.is_closing = True
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -241,9 +245,9 @@
         self.membership.add_seeds(settings.seeds)
         self.front.apply_settings(self.settings)
         self.routing_state.apply_retry_settings(
-            _retry_budget_settings(settings)
+            host_values.retry_budget_settings(settings)
         )
-        self.store_reader.set_period(_read_period_seconds(settings))
+        self.store_reader.set_period(host_values.read_period_seconds(settings))
         _log.info(
             'Settings are reloaded.',
             seeds=len(settings.seeds),
@@ -254,9 +258,9 @@
         """Register the callbacks by which components use each other's state."""
         self.membership.subscribe(self._update_exchange_peers)
         self.exchange.bootstrap_addresses = self._seed_addresses
-        self.store_reader.list_hosts = self._host_names
+        self.store_reader.list_hosts = self.host_names
         self.store_reader.on_registered_addresses = self.membership.add_seeds
-        self.evidence_keeper.list_hosts = self._host_names
+        self.evidence_keeper.list_hosts = self.host_names
         parts = self.routing_state.parts
         parts.quarantine.is_trial_host = self.evidence_keeper.is_writer
         parts.on_event = self._count_part_event
@@ -309,9 +313,10 @@
         ]
 
     def _exchange_address(self, peer_address: str) -> str:
-        return _with_port(peer_address, self.settings.exchange_port)
+        return host_values.with_port(peer_address, self.settings.exchange_port)
 
-    def _host_names(self) -> list[str]:
+    def host_names(self) -> list[str]:
+        """Return the names of the hosts that may be alive."""
         return [
             update.host for update in self.membership.table.alive_or_suspect()
         ]
@@ -378,23 +383,4 @@
     _log.info('Stopped.', in_flight=host.relay.in_flight)
 
 
-def _retry_budget_settings(settings: RelayHostSettings) -> RetryBudgetSettings:
-    return RetryBudgetSettings(
-        settings.retry_ratio,
-        settings.retry_slack,
-        settings.retry_window_seconds,
-    )
-
-
-def _read_period_seconds(settings: RelayHostSettings) -> float:
-    strictest_bound_seconds = min(
-        settings.configuration_seconds, settings.drain_seconds
-    )
-    return strictest_bound_seconds * _READ_PERIOD_FRACTION
-
-
-def _with_port(address: str, port: int) -> str:
-    return f'{address.rpartition(":")[0]}:{port}'
-
-
 __all__ = ('RelayHost', 'serve_host')
--- a/src/burdockledge/platform/__init__.py
+++ b/src/burdockledge/platform/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from burdockledge.platform._documents import PlatformDecoder
+from burdockledge.platform._duty_api import HttpDutyApi
+from burdockledge.platform._duty_store import HttpDutyStore
 from burdockledge.platform._front import Front
 from burdockledge.platform._names import PARTS_PATH
 from burdockledge.platform._part_endpoint import (
@@ -16,6 +18,8 @@
 
 __all__ = (
     'Front',
+    'HttpDutyApi',
+    'HttpDutyStore',
     'HttpServerClient',
     'PartEndpoint',
     'PartRelease',
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -43,6 +43,11 @@
 AUTHORIZATION: Final = 'Authorization'
 AUTHORIZATION_SCHEME: Final = 'Token'
 
+# On calls of duties: the host that makes them, and a positive integer that
+# rises with each change of that host.
+DUTY_HOLDER: Final = 'Burdockledge-Duty-Holder'
+FENCE_TOKEN: Final = 'Burdockledge-Fence-Token'
+
 # Headers of callers that are never forwarded to servers; lower case.
 UNFORWARDED_HEADERS: Final = frozenset(
     name.lower()
@@ -78,6 +83,11 @@
 SERVERS_TOPIC: Final = 'keyed.servers'
 HOSTS_TOPIC: Final = 'keyed.hosts'
 KEPT_TOPIC: Final = 'keyed.quarantine'
+DUTIES_TOPIC: Final = 'keyed.duties'
+
+# Paths of the platform's API for duties.
+USAGE_PATH: Final = '/usage'
+SCALE_PATH: Final = '/scale'
 
 __all__ = (
     'APPEND_PATH',
@@ -88,7 +98,10 @@
     'CONFIGURATION_KEY',
     'CONFIGURATION_TOPIC',
     'DIRECTORY_PATH',
+    'DUTIES_TOPIC',
+    'DUTY_HOLDER',
     'EXPECTED_SERVER',
+    'FENCE_TOKEN',
     'HOSTS_TOPIC',
     'KEPT_TOPIC',
     'LAST_EVENT_ID',
@@ -101,6 +114,7 @@
     'READ_PATH',
     'REQUEST_ID',
     'RETRY_AFTER',
+    'SCALE_PATH',
     'SEAL',
     'SERVERS_TOPIC',
     'SERVER_LEAVING',
@@ -110,4 +124,5 @@
     'TOKEN_COUNTS',
     'UNFORWARDED_HEADERS',
     'URGENCY',
+    'USAGE_PATH',
 )
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -130,7 +130,8 @@
         return await super().send(conn)
 
 
-def _create_socket(address_info: Any) -> socket.socket:
+def create_socket(address_info: Any) -> socket.socket:
+    """Create a socket that breaks if its peer acknowledges nothing."""
     family, kind, proto = address_info[:3]
     server_socket = socket.socket(family=family, type=kind, proto=proto)
     server_socket.setsockopt(
@@ -196,7 +197,7 @@
             _ServerConnection,
             id_header=names.REQUEST_ID,
             keepalive_timeout=_KEEPALIVE_SECONDS,
-            socket_factory=_create_socket,
+            socket_factory=create_socket,
         )
         self._session = make_session(
             self._connector,
@@ -270,4 +271,4 @@
     return SendFailure.broken
 
 
-__all__ = ('HttpServerClient',)
+__all__ = ('HttpServerClient', 'create_socket')
--- a/src/burdockledge/platform/_store.py
+++ b/src/burdockledge/platform/_store.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-import aiohttp
 from result import Err, Ok, Result
 
-from burdockledge.http_client import OversizedBodyError, read_body
 from burdockledge.platform import _names as names
 from burdockledge.platform._documents import strip_heartbeat
+from burdockledge.platform._store_calls import (
+    StoreCalls,
+    StoreError,
+    require_ok,
+)
 from burdockledge.platform._store_records import (
-    NewestPage,
     StoreRecordsError,
     decode_host_address,
-    decode_newest_page,
     decode_tail,
     encode_host_address,
     encode_record,
@@ -26,52 +27,22 @@
 from burdockledge.wire import StreamEntry, StreamUpdate
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from burdockledge.clock import Clock
 
 _log = make_logger('store')
 
-# The users' store takes up to 0.3 s for a response when it is slow.
-_CALL_TIMEOUT_SECONDS: Final = 0.9
-# Twice what the users' store sends at once: a megabyte of records.
-_MAX_ANSWER_BYTES: Final = 2 * 1024 * 1024
-# What the newest records of a topic may have on all pages: some ten thousand
-# servers.
-_MAX_TOPIC_BYTES: Final = 16 * 1024 * 1024
-_OK: Final = 200
-_NOT_FOUND: Final = 404
 _GONE: Final = 410
-_REFUSED_STATUSES: Final = frozenset((429, 503))
+_NOT_FOUND: Final = 404
+_OK: Final = 200
 _MS_PER_SECOND: Final = 1000
-# Eras are 32-bit integers in the messages of the hosts.
-_MAX_ERA: Final = (1 << 31) - 1
 _TOPIC_BY_STREAM: Final = {
     CONFIGURATION_STREAM: names.CONFIGURATION_TOPIC,
     SERVERS_STREAM: names.SERVERS_TOPIC,
 }
 
 
-class _StoreError(Exception):
-    """A call to the store that failed."""
-
-    def __init__(self, failure: SourceFailure) -> None:
-        """Hold the failure that the client reports."""
-        super().__init__(failure.value)
-        self.failure = failure
-
-
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """
-    An answer of the store.
-
-    ``era`` is 0 if the store names none.
-    """
-
-    status: int
-    era: int
-    body: bytes
-
-
 class StoreClient(RecordSource):
     """Reads topics of the store and registers this host in one of them."""
 
@@ -83,8 +54,7 @@
 
         :param address: ``IP:port`` of the store.
         """
-        self._base_url = f'http://{address}'
-        self._session = session
+        self._calls = StoreCalls(address, session)
         self._clock = clock
 
     async def read(
@@ -108,7 +78,7 @@
             if update is None:
                 update = await self._read_newest(stream, topic)
                 _require_era(update.era, era)
-        except _StoreError as error:
+        except StoreError as error:
             return Err(error.failure)
         age_ms = (
             int((self._clock.monotonic() - requested_at) * _MS_PER_SECOND) + 1
@@ -128,8 +98,8 @@
     async def registered_hosts(self) -> Result[dict[str, str], SourceFailure]:
         """Return the peer address of each host ever registered, by name."""
         try:
-            _, pages = await self._read_newest_pages(names.HOSTS_TOPIC)
-        except _StoreError as error:
+            _, pages = await self._calls.read_newest_pages(names.HOSTS_TOPIC)
+        except StoreError as error:
             return Err(error.failure)
         addresses = {
             entry.key: decode_host_address(entry.content or b'')
@@ -149,8 +119,8 @@
     async def read_kept(self) -> Result[dict[str, bytes], SourceFailure]:
         """Return the kept records, by key."""
         try:
-            _, pages = await self._read_newest_pages(names.KEPT_TOPIC)
-        except _StoreError as error:
+            _, pages = await self._calls.read_newest_pages(names.KEPT_TOPIC)
+        except StoreError as error:
             return Err(error.failure)
         return Ok(
             {
@@ -164,10 +134,10 @@
         """Append a record; return whether the store accepted it."""
         query = {'topic': topic, 'part': '0'}
         try:
-            answer = await self._call(
+            answer = await self._calls.call(
                 'POST', names.APPEND_PATH, query, encode_record(key, content)
             )
-        except _StoreError:
+        except StoreError:
             return False
         return answer.status == _OK
 
@@ -183,24 +153,24 @@
         era, in which the position stands for another record.
         """
         query = {'topic': topic, 'part': '0', 'from': str(position)}
-        answer = await self._call('GET', names.READ_PATH, query)
+        answer = await self._calls.call('GET', names.READ_PATH, query)
         if answer.status in {_GONE, _NOT_FOUND}:
             return None
-        _require_ok(answer.status)
+        require_ok(answer.status)
         _require_era(answer.era, era)
         if answer.era > era:
             return None
         try:
             tail = decode_tail(topic, answer.body, position)
         except StoreRecordsError as error:
-            raise _StoreError(SourceFailure.unreadable) from error
+            raise StoreError(SourceFailure.unreadable) from error
         if tail.is_cut:
             return None
         entries = _strip_heartbeats(stream, tail.entries)
         return StreamUpdate(stream, position, tail.end, 0, entries, False, era)
 
     async def _read_newest(self, stream: str, topic: str) -> StreamUpdate:
-        era, pages = await self._read_newest_pages(topic)
+        era, pages = await self._calls.read_newest_pages(topic)
         entries = tuple(entry for page in pages for entry in page.entries)
         # Pages may differ in age: the next read starts at the end offset of the
         # first page, and repeats records that later pages already contain.
@@ -209,94 +179,11 @@
             stream, 0, end, 0, _strip_heartbeats(stream, entries), True, era
         )
 
-    async def _read_newest_pages(
-        self, topic: str
-    ) -> tuple[int, list[NewestPage]]:
-        """Return the pages, which are of one era, and that era."""
-        pages: list[NewestPage] = []
-        size = 0
-        query = {'topic': topic, 'part': '0'}
-        era: int | None = None
-        while True:
-            answer = await self._call('GET', names.NEWEST_PATH, query)
-            if era not in {None, answer.era}:
-                raise _StoreError(SourceFailure.outdated)
-            era = answer.era
-            page = _decode_page(topic, answer)
-            pages.append(page)
-            if page.next_after is None:
-                return era, pages
-            size += len(answer.body)
-            if size > _MAX_TOPIC_BYTES or page.next_after <= query.get(
-                'after', ''
-            ):
-                _log.warning('Pages of a topic do not end.', topic=topic)
-                raise _StoreError(SourceFailure.unreadable)
-            query['after'] = page.next_after
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str],
-        body: bytes | None = None,
-    ) -> _Answer:
-        client_timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_SECONDS)
-        try:
-            async with self._session.request(
-                method,
-                self._base_url + path,
-                params=query,
-                data=body,
-                timeout=client_timeout,
-                allow_redirects=False,
-            ) as response:
-                return _Answer(
-                    response.status,
-                    _parse_era(response.headers.get(names.STORE_ERA)),
-                    await read_body(response, _MAX_ANSWER_BYTES),
-                )
-        except OversizedBodyError as error:
-            raise _StoreError(SourceFailure.unreadable) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _StoreError(SourceFailure.unavailable) from error
-
-
-def _decode_page(topic: str, answer: _Answer) -> NewestPage:
-    """Return the page in an answer, an empty one for a missing topic."""
-    if answer.status == _NOT_FOUND:
-        return NewestPage((), 0)
-    _require_ok(answer.status)
-    try:
-        return decode_newest_page(topic, answer.body)
-    except StoreRecordsError as error:
-        raise _StoreError(SourceFailure.unreadable) from error
-
-
-def _require_ok(status: int) -> None:
-    if status in _REFUSED_STATUSES:
-        raise _StoreError(SourceFailure.refused)
-    if status != _OK:
-        raise _StoreError(SourceFailure.unreadable)
-
 
 def _require_era(era: int, known_era: int) -> None:
     """Refuse an answer that was under way when the store was restored."""
     if era < known_era:
-        raise _StoreError(SourceFailure.outdated)
-
-
-def _parse_era(header: str | None) -> int:
-    """Return the era that an answer names, 0 if it names none."""
-    if header is None:
-        return 0
-    try:
-        era = int(header)
-    except ValueError as error:
-        raise _StoreError(SourceFailure.unreadable) from error
-    if not 0 <= era <= _MAX_ERA:
-        raise _StoreError(SourceFailure.unreadable)
-    return era
+        raise StoreError(SourceFailure.outdated)
 
 
 def _strip_heartbeats(
