Order servers as a duty, unless operators suspend that

Random faults showed that a count that was recorded and then refused could make the next holder exceed the maximum, so a record keeps the count before it, too, until the registered servers show which of the two holds. Sizes are read once registrations settle.

--- a/src/burdockledge/autoscaling/_order_book.py
+++ b/src/burdockledge/autoscaling/_order_book.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from burdockledge.autoscaling._records import OrderRecord
+
 # After the boot time, until a server's registration is known everywhere.
 _REGISTRATION_SECONDS: Final = 2.0
 # No server of a kind may be available for 10 s; asked for twice in that time.
@@ -32,10 +34,13 @@
     """
     The count that stands, None before any, and until when to wait.
 
-    Before ``repeat_at``, the same count is not ordered again.
+    Before ``repeat_at``, the same count is not ordered again. ``before`` is the
+    count that is still in force if the last order was not carried out; None if
+    it certainly was.
     """
 
     count: int | None = None
+    before: int | None = None
     wait_until: float = 0.0
     repeat_at: float = 0.0
     blocked_until: float = 0.0
@@ -49,7 +54,10 @@
     """
 
     def __init__(
-        self, counts: Mapping[Pool, int], boot_seconds: float, now: float
+        self,
+        counts: Mapping[Pool, OrderRecord],
+        boot_seconds: float,
+        now: float,
     ) -> None:
         """
         Go on from counts that another holder ordered, perhaps just now.
@@ -58,10 +66,11 @@
         ordered again at once.
         """
         self._orders: defaultdict[Pool, _PoolOrders] = defaultdict(_PoolOrders)
-        for pool, count in counts.items():
-            self._orders[pool].count = count
-            self._orders[pool].repeat_at = (
-                now + boot_seconds + _REGISTRATION_SECONDS
+        for pool, record in counts.items():
+            self._orders[pool] = _PoolOrders(
+                record.count,
+                record.before,
+                repeat_at=now + boot_seconds + _REGISTRATION_SECONDS,
             )
 
     def state(self, pool: Pool, ready: int, now: float) -> PoolState:
@@ -71,9 +80,17 @@
         Before any order, the registered servers count as ordered.
         """
         orders = self._orders[pool]
-        if orders.count is None:
-            orders.count = ready
-        return PoolState(ready, orders.count, now < orders.blocked_until)
+        count = ready if orders.count is None else orders.count
+        waits = now < max(orders.wait_until, orders.repeat_at)
+        if ready == count and not waits:
+            # What is registered shows that the order was carried out.
+            orders.before = None
+        return PoolState(
+            ready,
+            count,
+            max(count, orders.before or 0),
+            now < orders.blocked_until,
+        )
 
     def may_order(self, pool: Pool, count: int, now: float) -> bool:
         """Return whether a count may be ordered now."""
@@ -85,6 +102,7 @@
     def note(
         self,
         pool: Pool,
+        before: PoolState,
         count: int,
         outcome: CallOutcome,
         sent_at: float,
@@ -99,6 +117,8 @@
         orders = self._orders[pool]
         if outcome not in _REFUSED:
             orders.count = count
+            is_certain = outcome is CallOutcome.accepted
+            orders.before = None if is_certain else before.at_most
         if outcome is CallOutcome.unavailable:
             orders.blocked_until = sent_at + _UNAVAILABLE_SECONDS
             orders.wait_until = orders.blocked_until
--- a/src/burdockledge/autoscaling/_orders.py
+++ b/src/burdockledge/autoscaling/_orders.py
@@ -39,6 +39,7 @@
     pool: Pool
     count: int
     plan: Plan
+    record: OrderRecord
 
 
 class ServerOrders(Duty):
@@ -90,9 +91,12 @@
         if self._is_suspended:
             self._log_suspended(orders)
             return _PERIOD_SECONDS
-        recorded = [
-            order for order in orders if await self._record(order, lease)
-        ]
+        recorded: list[_Order] = []
+        for order in orders:
+            if not await self._record(order, lease):
+                # The others would wait for the same store or rate.
+                break
+            recorded.append(order)
         await asyncio.gather(*(self._send(order, lease) for order in recorded))
         return _PERIOD_SECONDS
 
@@ -121,10 +125,18 @@
         if fault is not None:
             self._gauges.drop(view.service)
             return []
+        if not service.is_settled(view, now):
+            return []
         plan = service.plan(view, now)
         self._gauges.show(view.service, plan.wanted, service.ordered(view, now))
         return [
-            _Order(view, pool, count, plan)
+            _Order(
+                view,
+                pool,
+                count,
+                plan,
+                service.record(plan, view, pool, count, now),
+            )
             for pool, count in service.due(plan, view, now)
         ]
 
@@ -151,9 +163,7 @@
             return False
         is_recorded = await lease.write(
             record_key(order.view.service, order.pool),
-            encode_record(
-                order.count, order.plan.sizes[order.pool.data_centre]
-            ),
+            encode_record(order.record),
         )
         if not is_recorded:
             _log.warning(
--- a/src/burdockledge/autoscaling/_records.py
+++ b/src/burdockledge/autoscaling/_records.py
@@ -26,20 +26,27 @@
 
 
 class _OrderRecord(BaseModel):
-    """The content of a record: the ordered count and the planned size."""
+    """The content of a record."""
 
     model_config = ConfigDict(frozen=True, strict=True)
 
     count: _Number
+    # The largest count that may be in force if the order is not carried out.
+    before: _Number
     # Of the data centre, both kinds together.
     size: _Number
 
 
 @dataclass(frozen=True, slots=True)
 class OrderRecord:
-    """An ordered count, and the planned size of its data centre."""
+    """
+    An ordered count, and the planned size of its data centre.
+
+    ``before`` may be in force instead, if the order was not carried out.
+    """
 
     count: int
+    before: int
     size: int
 
 
@@ -55,9 +62,13 @@
     )
 
 
-def encode_record(count: int, size: int) -> bytes:
+def encode_record(record: OrderRecord) -> bytes:
     """Return the content of a record."""
-    return _OrderRecord(count=count, size=size).model_dump_json().encode()
+    return (
+        _OrderRecord(count=record.count, before=record.before, size=record.size)
+        .model_dump_json()
+        .encode()
+    )
 
 
 def decode_records(
@@ -75,7 +86,7 @@
             _log.warning('Order can not be read.', key=key, why=repr(error))
             continue
         orders.setdefault(service, {})[pool] = OrderRecord(
-            decoded.count, decoded.size
+            decoded.count, decoded.before, decoded.size
         )
     return orders
 
--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from burdockledge.autoscaling._faults import find_fault
 from burdockledge.autoscaling._order_book import OrderBook
 from burdockledge.autoscaling._planner import ServicePlanner
+from burdockledge.autoscaling._records import OrderRecord
 from burdockledge.autoscaling._types import Plan, Pool, PoolState, ServerKind
 from burdockledge.duties import CallOutcome
 
+# The servers of a fleet may register over a while. Their number counts as the
+# size before traffic when it has not changed for longer than the records are
+# read apart (0.7 s), or after a while of changes.
+_SETTLED_SECONDS: Final = 1.0
+_MAX_SETTLING_SECONDS: Final = 5.0
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from burdockledge.autoscaling._records import OrderRecord
     from burdockledge.autoscaling._types import ServiceView
 
 
@@ -32,14 +38,13 @@
     ) -> None:
         """Go on from the records of earlier holders, if any."""
         self._recorded = dict(recorded)
-        self._book = OrderBook(
-            {pool: record.count for pool, record in recorded.items()},
-            boot_seconds,
-            now,
-        )
+        self._book = OrderBook(recorded, boot_seconds, now)
         self._data_centres = {pool.data_centre for pool in recorded}
         self._planner: ServicePlanner | None = None
         self._planned: frozenset[str] = frozenset()
+        self._started_at = now
+        self._changed_at = now
+        self._seen: dict[Pool, int] = {}
 
     def fault(self, view: ServiceView) -> str | None:
         """Return why nothing can be ordered, None if orders can be given."""
@@ -48,6 +53,19 @@
         }
         return find_fault(view.autoscale, self._data_centres)
 
+    def is_settled(self, view: ServiceView, now: float) -> bool:
+        """Return whether the registered servers show the present size."""
+        if self._recorded or self._planner is not None:
+            return True
+        ready = dict(view.ready)
+        if ready != self._seen:
+            self._seen = ready
+            self._changed_at = now
+        return (
+            now - self._changed_at >= _SETTLED_SECONDS
+            or now - self._started_at >= _MAX_SETTLING_SECONDS
+        )
+
     def plan(self, view: ServiceView, now: float) -> Plan:
         """Return the plan for now, of a service without a fault."""
         data_centres = frozenset(view.autoscale.prices)
@@ -59,6 +77,13 @@
             self._planned = data_centres
         return self._planner.plan(view, self._states(view, now), now)
 
+    def record(
+        self, plan: Plan, view: ServiceView, pool: Pool, count: int, now: float
+    ) -> OrderRecord:
+        """Return what a later holder must know of an order."""
+        state = self._states(view, now)[pool]
+        return OrderRecord(count, state.at_most, plan.sizes[pool.data_centre])
+
     def ordered(self, view: ServiceView, now: float) -> dict[Pool, int]:
         """Return the counts that stand as ordered."""
         return {
@@ -96,7 +121,7 @@
         """Note how an order ended."""
         before = self._book.state(pool, view.ready.get(pool, 0), sent_at)
         self._book.note(
-            pool, count, outcome, sent_at, view.autoscale.boot_seconds
+            pool, before, count, outcome, sent_at, view.autoscale.boot_seconds
         )
         is_standing = outcome in {CallOutcome.accepted, CallOutcome.unknown}
         if is_standing and count > before.ordered and self._planner:
--- a/src/burdockledge/autoscaling/_steps.py
+++ b/src/burdockledge/autoscaling/_steps.py
@@ -39,34 +39,55 @@
     bounds: Bounds
 
     def counts(self) -> dict[ServerKind, int]:
-        """Return the counts to order next, of each kind."""
+        """Return the counts to order next; a kind may be left as it is."""
         added_spot = self._added(self.spot, self.wanted_spot, self._room)
         added_normal = self._added(
             self.normal, self.wanted_normal, self._room - added_spot
         )
-        spot = self._remaining_spot()
-        normal = self._remaining_normal(added_spot)
-        # A refused addition must not leave fewer than the minimum.
-        removed = self.normal.ordered + self.spot.ordered - normal - spot
-        spare = self.normal.ordered + self.spot.ordered - self.bounds.lowest
-        if removed > max(0, spare):
-            normal, spot = self.normal.ordered, self.spot.ordered
+        counts = {
+            ServerKind.normal: self._within_bounds(
+                self._remaining_normal(added_spot) + added_normal,
+                self.normal,
+                self.spot,
+            ),
+            ServerKind.spot: self._within_bounds(
+                self._remaining_spot() + added_spot, self.spot, self.normal
+            ),
+        }
         return {
-            ServerKind.normal: normal + added_normal,
-            ServerKind.spot: spot + added_spot,
+            kind: count for kind, count in counts.items() if count is not None
         }
 
     @property
     def _room(self) -> int:
-        """How many servers may be ordered beside the ordered ones."""
-        ordered = self.normal.ordered + self.spot.ordered
-        return max(0, self.bounds.highest - ordered)
+        """
+        How many servers may be ordered beside the present ones.
+
+        Servers count until their removal is certain and shows.
+        """
+        taken = _most(self.normal) + _most(self.spot)
+        return max(0, self.bounds.highest - taken)
 
     @property
     def _size(self) -> int:
         """How many servers must be registered at any time."""
         return self.wanted_normal + self.wanted_spot
 
+    def _within_bounds(
+        self, count: int, state: PoolState, other: PoolState
+    ) -> int | None:
+        """
+        Return a count that holds the bounds whatever becomes of the other one.
+
+        Recorded counts may exceed the maximum together, if one was recorded
+        and never carried out. None if no count holds the bounds.
+        """
+        free = self.bounds.highest - _most(other)
+        count = min(count, max(state.ready, free))
+        least = self.bounds.lowest - min(other.ready, other.ordered)
+        count = max(count, min(state.ordered, least))
+        return None if count > max(state.ready, free) else count
+
     def _added(self, state: PoolState, wanted: int, room: int) -> int:
         if state.is_blocked:
             return 0
@@ -104,6 +125,11 @@
         return max(0, min(half, lacking_spot, spare))
 
 
+def _most(state: PoolState) -> int:
+    """Return the most servers that a pool may have now."""
+    return max(state.ready, state.at_most)
+
+
 def next_counts(
     data_centre: str,
     wanted: dict[Pool, int],
--- a/src/burdockledge/autoscaling/_types.py
+++ b/src/burdockledge/autoscaling/_types.py
@@ -67,11 +67,13 @@
     """
     The registered and the ordered servers of a pool.
 
+    ``at_most`` is the largest count that may be in force at the platform.
     ``is_blocked``: the platform has none at the moment.
     """
 
     ready: int = 0
     ordered: int = 0
+    at_most: int = 0
     is_blocked: bool = False
 
 
--- a/src/burdockledge/cli/_host.py
+++ b/src/burdockledge/cli/_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+from dataclasses import replace
 from pathlib import Path
 
 from pydantic import Field
@@ -35,6 +36,10 @@
     peer_keys: CommaList = Field(
         description='keys shared by all entry hosts; the first one signs',
     )
+    suspend_server_orders: bool = Field(
+        default=False,
+        description='plan and log orders of servers, but send none',
+    )
     log_level: str = Field(
         default='info',
         pattern='^(debug|info|warning|error)$',
@@ -59,7 +64,9 @@
         if isinstance(loaded, Err):
             print_error(f'settings_file: {loaded.err_value}')
             return ExitCode.usage
-        host_settings = loaded.ok_value
+        host_settings = replace(
+            loaded.ok_value, suspends_orders=settings.suspend_server_orders
+        )
         configure_logs(settings.log_level, host_settings.host)
         try:
             keys = PeerKeys(settings.peer_keys, None)
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -240,6 +240,8 @@
         ]
         self.settings = replace(
             settings,
+            # A flag of the process, not of the file.
+            suspends_orders=self.settings.suspends_orders,
             **{name: getattr(self.settings, name) for name in needs_restart},
         )
         self.membership.add_seeds(settings.seeds)
--- a/src/burdockledge/host_duties.py
+++ b/src/burdockledge/host_duties.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from burdockledge.autoscaling import KnownFleet, ServerOrders
 from burdockledge.duties import DutyHolder
 from burdockledge.platform import HttpDutyApi, HttpDutyStore
 
@@ -49,7 +50,24 @@
     host: RelayHost, settings: DutySettings, api: DutyApi
 ) -> list[Duty]:
     """Return the duties that the settings name; add new ones here."""
-    return []
+    duties: list[Duty] = []
+    if settings.orders_servers:
+        duties.append(_make_server_orders(host, settings, api))
+    return duties
+
+
+def _make_server_orders(
+    host: RelayHost, settings: DutySettings, api: DutyApi
+) -> ServerOrders:
+    state = host.routing_state
+    return ServerOrders(
+        KnownFleet(state.routes, state.registry, state.loads, state.age_ms),
+        api,
+        host.clock,
+        host.metrics,
+        settings.calls_per_second,
+        is_suspended=host.settings.suspends_orders,
+    )
 
 
 __all__ = ('make_duty_holder',)
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -114,6 +114,11 @@
         exchange.on_change = self._apply_records
         exchange.on_call_events = self._apply_call_events
 
+    @property
+    def registry(self) -> ServerRegistry:
+        """The registered servers."""
+        return self._registry
+
     @property
     def loads(self) -> LoadTracker:
         """The loads of the servers, and what their services' calls ask."""
--- a/src/burdockledge/settings/_models.py
+++ b/src/burdockledge/settings/_models.py
@@ -114,7 +114,8 @@
     time between the request to stop and the kill. The retry budget
     (``retry_*``) is shared by all hosts. ``duties`` is None if the deployment
     names none. With ``sheds_load``, calls may be refused for lack of room, and
-    servers are chosen with regard to it. ``memory_bytes`` and
+    servers are chosen with regard to it. With ``suspends_orders``, orders of
+    servers are planned and logged only. ``memory_bytes`` and
     ``max_descriptors`` are the limits of the process, None if unknown.
     """
 
@@ -137,6 +138,7 @@
     directory_seconds: float
     duties: DutySettings | None = None
     sheds_load: bool = False
+    suspends_orders: bool = False
     memory_bytes: int | None = None
     max_descriptors: int | None = None
 
--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -117,10 +117,12 @@
             )
         return outcome
 
-    def carry_out_late(self, pool: Pool, count: int) -> None:
+    def carry_out_late(
+        self, pool: Pool, count: int, boot_seconds: float = BOOT_SECONDS
+    ) -> None:
         """Carry out an order whose answer, if any, was sent before."""
         times = self._ready_at.setdefault(pool, [])
-        boots = self._clock.monotonic() + BOOT_SECONDS
+        boots = self._clock.monotonic() + boot_seconds
         times += [boots] * (count - len(times))
         del times[count:]
 
--- a/tests/autoscaling/test_demand.py
+++ b/tests/autoscaling/test_demand.py
@@ -9,6 +9,7 @@
 from burdockledge.autoscaling._fleet import KnownFleet
 from burdockledge.autoscaling._rate import OrderRate
 from burdockledge.autoscaling._records import (
+    OrderRecord,
     decode_records,
     encode_record,
     record_key,
@@ -142,12 +143,12 @@
 @pytest.mark.parametrize(
     ('key', 'content'),
     [
-        ('orders/m/a', b'{"count":1,"size":1}'),
-        ('orders/m/a/cheap', b'{"count":1,"size":1}'),
-        ('orders/m/a/spot', b'{"count":-1,"size":1}'),
-        ('orders/m/a/spot', b'{"count":"1","size":1}'),
+        ('orders/m/a', b'{"count":1,"before":1,"size":1}'),
+        ('orders/m/a/cheap', b'{"count":1,"before":1,"size":1}'),
+        ('orders/m/a/spot', b'{"count":-1,"before":1,"size":1}'),
+        ('orders/m/a/spot', b'{"count":"1","before":1,"size":1}'),
         ('orders/m/a/spot', b'[' * 2000),
-        ('usage/3', b'{"count":1,"size":1}'),
+        ('usage/3', b'{"count":1,"before":1,"size":1}'),
     ],
 )
 def test_other_records_are_left_out(key: str, content: bytes) -> None:
@@ -155,11 +156,12 @@
     own = record_key('m/1', Pool('a', ServerKind.spot))
     records = {
         key: StoreRecord(0, content),
-        own: StoreRecord(1, encode_record(7, 9)),
+        own: StoreRecord(1, encode_record(OrderRecord(7, 8, 9))),
     }
     orders = decode_records(records)
     assert list(orders) == ['m/1']
-    assert orders['m/1'][Pool('a', ServerKind.spot)].size == 9
+    pool = Pool('a', ServerKind.spot)
+    assert orders['m/1'][pool] == OrderRecord(7, 8, 9)
 
 
 @pytest.mark.parametrize(
--- a/tests/autoscaling/test_orders.py
+++ b/tests/autoscaling/test_orders.py
@@ -25,6 +25,12 @@
 )
 
 REPEAT_SECONDS = BOOT_SECONDS + 2
+REFUSALS = [
+    CallOutcome.failed,
+    CallOutcome.limited,
+    CallOutcome.unavailable,
+    CallOutcome.not_sent,
+]
 
 
 def mixed_fleet(count: int = 10) -> dict[Pool, int]:
@@ -49,6 +55,52 @@
     assert scene.least_ready >= least_ready
 
 
+def test_servers_that_register_late_count_in_the_size() -> None:
+    """Guards against a fleet that is cut to what was known at first."""
+    scene = Scene(even_fleet(7))
+    scene.play(0.5)
+    for name in AUTOSCALE.prices:
+        scene.platform.carry_out_late(normal(name), 15, boot_seconds=0)
+    scene.play(10)
+    assert scene.totals() == {'a': 15, 'b': 15, 'c': 15}
+    assert scene.least_ready == 21
+
+
+def test_random_loads_and_faults_stay_within_the_bounds() -> None:
+    """Guards against counts outside of the bounds in any state."""
+    for seed in range(30):
+        random = Random(seed)
+        lowest, highest = random.choice([(1, 16), (5, 20), (2, 40), (15, 15)])
+        scene = Scene(even_fleet())
+        scene.fleet.autoscale = replace(
+            AUTOSCALE, min_servers=lowest, max_servers=highest
+        )
+        for step in range(40):
+            mean = random.choice([1, 13, 30, 200])
+            if step > 4:
+                scene.fleet.demand = Demand(
+                    mean, mean / 2, 2 * mean, 2 * mean, mean, step * 4
+                )
+            scene.platform.outcome = random.choice([None, None, *REFUSALS])
+            scene.platform.is_carried_out = scene.platform.outcome is None
+            if random.random() < 0.1:
+                scene.platform.reclaim(random.choice('abc'))
+            if random.random() < 0.1:
+                scene.change_holder()
+            scene.play(4)
+        ordered: dict[Pool, int] = {
+            normal(name): 15 for name in AUTOSCALE.prices
+        }
+        for order in scene.platform.orders:
+            if order.outcome is CallOutcome.accepted:
+                ordered[order.pool] = order.count
+            for name in AUTOSCALE.prices:
+                total = ordered.get(normal(name), 0) + ordered.get(
+                    spot(name), 0
+                )
+                assert lowest <= total <= highest
+
+
 def test_a_quiet_fleet_shrinks_in_few_steps_to_the_mean() -> None:
     """Guards against a size beyond need, and against constant removals."""
     scene = Scene(even_fleet())
@@ -192,11 +244,11 @@
 
 def test_a_late_order_does_not_stay() -> None:
     """Guards against servers of an older count that was carried out last."""
-    scene = Scene(mixed_fleet())
-    scene.play(1)
+    scene = Scene(even_fleet())
+    scene.play(10)
     scene.platform.carry_out_late(spot('a'), 3)
     scene.play(20)
-    assert scene.platform.ready()[spot('a')] == 10
+    assert scene.platform.ready()[spot('a')] == 15
 
 
 def test_a_new_holder_goes_on_from_the_records() -> None:
