Describe usage reports, and give notes their fields

Notes had no field for the send time, nor for counts of calls: sent_at_ms, usage_pull and usage_totals are new and optional.

--- a/src/burdockledge/wire/__init__.py
+++ b/src/burdockledge/wire/__init__.py
@@ -47,6 +47,7 @@
     encode_note_datagrams,
     hash_server_key,
 )
+from burdockledge.wire._usage import UsagePull, UsageTotals
 
 __all__ = (
     'DATAGRAM_PAYLOAD_BYTES',
@@ -76,6 +77,8 @@
     'StreamEntry',
     'StreamPull',
     'StreamUpdate',
+    'UsagePull',
+    'UsageTotals',
     'WireError',
     'Yield',
     'decode_frame',
--- a/src/burdockledge/wire/_notes.py
+++ b/src/burdockledge/wire/_notes.py
@@ -10,8 +10,8 @@
 
 from burdockledge.wire._codec import (
     WireError,
-    build_message,
     build_message_list,
+    build_optional_message,
     build_struct,
     build_struct_list,
     messages_to_write,
@@ -19,6 +19,12 @@
     struct_type_with_messages,
     write_struct,
 )
+from burdockledge.wire._usage import (
+    UsagePull,
+    UsageTotals,
+    build_totals,
+    build_totals_struct,
+)
 from burdockledge.wire.generated.burdockledge import ttypes
 
 # Payload that fits into an Ethernet frame beside the headers and the MAC.
@@ -183,7 +189,8 @@
     unless it is the same, a negative one asks for none. ``limited_calls``
     names the server of each call to one that names a limit; it is sent to
     every host directly. ``written_at_ms`` is the sender's wall clock in a note
-    that is kept in the store.
+    that is kept in the store, ``sent_at_ms`` that in a note to another host.
+    ``usage_pull`` asks for counts of calls, ``usage_totals`` answers.
     """
 
     host: str
@@ -199,6 +206,9 @@
     evidence_digest: int | None = None
     limited_calls: list[int] = field(default_factory=list)
     written_at_ms: int | None = None
+    sent_at_ms: int | None = None
+    usage_pull: UsagePull | None = None
+    usage_totals: list[UsageTotals] = field(default_factory=list)
 
     @property
     def has_call_events(self) -> bool:
@@ -241,6 +251,12 @@
             evidence_digest=note.evidence_digest,
             limited_calls=note.limited_calls or None,
             written_at_ms=note.written_at_ms,
+            sent_at_ms=note.sent_at_ms,
+            usage_pull=build_struct(ttypes.UsagePull, note.usage_pull),
+            usage_totals=[
+                build_totals_struct(totals) for totals in note.usage_totals
+            ]
+            or None,
         ),
     )
 
@@ -261,15 +277,18 @@
         started=build_message_list(CallStarted, raw.started),
         heard=build_message_list(CallHeard, raw.heard),
         ended=build_message_list(CallEnded, raw.ended),
-        fragment=None
-        if raw.fragment is None
-        else build_message(Fragment, raw.fragment),
+        fragment=build_optional_message(Fragment, raw.fragment),
         passed=list(raw.passed or ()),
         suspects=build_message_list(CrashSuspect, raw.suspects),
         clearances=build_message_list(Clearance, raw.clearances),
         evidence_digest=raw.evidence_digest,
         limited_calls=list(raw.limited_calls or ()),
         written_at_ms=raw.written_at_ms,
+        sent_at_ms=raw.sent_at_ms,
+        usage_pull=build_optional_message(UsagePull, raw.usage_pull),
+        usage_totals=[
+            build_totals(totals) for totals in raw.usage_totals or ()
+        ],
     )
 
 
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -199,6 +199,34 @@
   3: i32 age_ms,
 }
 
+// Calls of a host that servers began to run in a window of usage reports, by
+// team.
+struct UsageWindow {
+  1: i64 window,
+  2: list<string> teams,
+  3: list<i32> counts,
+}
+
+// What a process of a host has counted. Windows from the first one that was
+// asked for up to ``complete_before`` are final; one that is left out has no
+// calls.
+struct UsageTotals {
+  1: string host,
+  2: i64 process,
+  3: i64 complete_before,
+  4: list<UsageWindow> windows,
+}
+
+// Asks a host for its totals from ``from_window`` on or, if ``process`` is not
+// its process, from ``reported_before`` on. Windows before that are reported.
+struct UsagePull {
+  1: i64 process,
+  2: i64 from_window,
+  3: i64 reported_before,
+  // Whether the sender reports usage.
+  4: bool is_holder,
+}
+
 // A gossip message between two hosts.
 struct Note {
   1: string host,
@@ -218,4 +246,8 @@
   12: optional list<i64> limited_calls,
   // Milliseconds since the Unix epoch; only in notes that are kept in the store.
   13: optional i64 written_at_ms,
+  // The sender's wall clock, in milliseconds since the Unix epoch.
+  14: optional i64 sent_at_ms,
+  15: optional UsagePull usage_pull,
+  16: optional list<UsageTotals> usage_totals,
 }
--- a/tests/wire/test_notes.py
+++ b/tests/wire/test_notes.py
@@ -22,6 +22,8 @@
     StreamEntry,
     StreamPull,
     StreamUpdate,
+    UsagePull,
+    UsageTotals,
     WireError,
     _codec,
     decode_note,
@@ -29,7 +31,7 @@
     encode_note_datagrams,
     hash_server_key,
 )
-from burdockledge.wire._codec import write_struct
+from burdockledge.wire._codec import read_struct, write_struct
 from burdockledge.wire.generated.burdockledge import ttypes
 
 
@@ -51,6 +53,9 @@
         evidence_digest=2**62,
         limited_calls=[2**32 - 1],
         written_at_ms=2**41,
+        sent_at_ms=2**41,
+        usage_pull=UsagePull(2**40, 5, 4, True),
+        usage_totals=[UsageTotals('host', 2**40, 5, {4: {'team': 3}, 5: {}})],
     )
 
 
@@ -180,3 +185,35 @@
         with pytest.raises(WireError):
             decode_note(encoded[:length])
         assert decode_note(encoded) == note
+
+
+def test_former_version_reads_notes_with_usage() -> None:
+    """Guards against notes that hosts without usage reports drop."""
+    former = type(
+        'Note',
+        (ttypes.Note,),
+        {'__slots__': (), 'thrift_spec': ttypes.Note.thrift_spec[:14]},
+    )
+    sent = make_note()
+    read = read_struct(former(), encode_note(sent))
+    assert read.host == sent.host
+    assert read.written_at_ms == sent.written_at_ms
+    assert read.usage_totals is None
+
+
+@pytest.mark.parametrize(
+    'window',
+    [
+        ttypes.UsageWindow(window=1, teams=['a'], counts=[]),
+        ttypes.UsageWindow(window=1, teams=['a'], counts=[-1]),
+        ttypes.UsageWindow(window=1, teams=['a']),
+        ttypes.UsageWindow(teams=[], counts=[]),
+    ],
+)
+def test_invalid_usage_raises_wire_error(window: Any) -> None:
+    """Guards against counts that belong to no team or window."""
+    totals = ttypes.UsageTotals(
+        host='h', process=1, complete_before=2, windows=[window]
+    )
+    with pytest.raises(WireError):
+        decode_note(write_struct(ttypes.Note(host='h', usage_totals=[totals])))
