Tell once for each call that a server began to run it

Nothing told whose calls servers ran. The relay now has a UsageMeter: a stream counts at its first complete event, another call at the head of a response that does not say that it has not run, with the time at which it was read and not the time at which a slow caller took it. Streams that a caller resumes counted when they began.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -26,6 +26,7 @@
 from burdockledge.relay._responder import BAD_GATEWAY, CUT, UNAVAILABLE
 from burdockledge.relay._routing_state import SendOutcome
 from burdockledge.relay._stream_relay import StreamRelay
+from burdockledge.relay._usage_meter import NOT_RUN_STATUSES, UsageMeter
 from burdockledge.scheduling import CallResult
 from burdockledge.telemetry import make_logger
 
@@ -45,9 +46,6 @@
 _OK: Final = 200
 _MULTIPLE_CHOICES: Final = 300
 _SERVER_ERROR: Final = 500
-# Callers take these statuses to mean that the call did not run, so a server's
-# response with one is not passed on.
-_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 # Limit on the sends of one call, including those that a server refused.
 _MAX_SENDS: Final = 4
 # An idempotent call without a response head after this multiple of its
@@ -90,7 +88,8 @@
         self._planned_stop = planned_stop
         self._placer = Placer(routing_state, planned_stop, clock)
         self._memory = AnswerMemory()
-        self._streams = StreamRelay(routing_state, clock, metrics)
+        self.usage = UsageMeter()
+        self._streams = StreamRelay(routing_state, clock, metrics, self.usage)
         self._responder = responder
         self._clock = clock
         self._metrics = metrics
@@ -255,12 +254,14 @@
         response: ServerResponse,
         held: HeldAnswer,
     ) -> tuple[int, str] | str:
+        read_at = self._clock.monotonic()
         outcome.progress = ResponseProgress.head
         self._state.note_response_start(placement, response.call_rate_limit)
         self._state.note_server_notice(placement, response.notice)
         if response.proves_not_run:
             outcome.result = CallResult.refused
             return f'the server refused with {response.status}'
+        self.usage.note_head(served, response, read_at)
         served.may_have_run = True
         served.runs += 1
         is_success = _OK <= response.status < _MULTIPLE_CHOICES
@@ -311,7 +312,8 @@
                 return f'the server failed with {response.status}'
         else:
             outcome.result = CallResult.answered
-        if served.has_response_started or response.status in _NOT_RUN_STATUSES:
+        if served.has_response_started or response.status in NOT_RUN_STATUSES:
+            # Callers would take it to mean that the call did not run.
             return f'the server failed with {response.status}'
         served.has_response_started = True
         await served.caller.send_response(
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -40,7 +40,8 @@
     """
     Serves calls, each until its time limit or the exit of the process.
 
-    ``in_flight`` is the number of calls being served.
+    ``in_flight`` is the number of calls being served. ``usage`` tells which
+    calls servers began to run.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
             clock,
             metrics,
         )
+        self.usage = self._forwarder.usage
         self.in_flight = 0
 
     def plan_stop(self, delay_seconds: float) -> None:
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -27,7 +27,8 @@
     admitted the call. ``tried_instance_ids`` holds the instances to
     which it was sent. ``sends`` counts all sends, ``runs`` those after which
     the call may have run. ``has_retry``: the retry budget has
-    granted the next send. ``cut_cause`` is why the answer is incomplete, if it
+    granted the next send. ``is_counted``: it counts in the usage of its
+    team. ``cut_cause`` is why the answer is incomplete, if it
     ends now. ``media_type`` is that of a stream that began.
     ``first_event_seconds`` is the time from arrival
     to the first write of events, ``longest_pause_seconds`` the longest time
@@ -47,6 +48,7 @@
     runs: int = 0
     may_have_run: bool = False
     has_retry: bool = False
+    is_counted: bool = False
     has_response_started: bool = False
     cut_cause: CutCause = CutCause.server_broke
     media_type: str | None = None
--- a/src/burdockledge/relay/_stream_relay.py
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -26,6 +26,7 @@
         SendOutcome,
     )
     from burdockledge.relay._served_call import ServedCall
+    from burdockledge.relay._usage_meter import UsageMeter
     from burdockledge.telemetry import Metrics
 
 # A resumable event stream without a complete event for this long, or for this
@@ -94,9 +95,14 @@
     """Relays streams, and learns from their pauses."""
 
     def __init__(
-        self, routing_state: RoutingState, clock: Clock, metrics: Metrics
+        self,
+        routing_state: RoutingState,
+        clock: Clock,
+        metrics: Metrics,
+        usage: UsageMeter,
     ) -> None:
         """Create a relay that tells a routing state what it learns."""
+        self._usage = usage
         self._state = routing_state
         self._clock = clock
         self._metrics = metrics
@@ -147,6 +153,7 @@
             chunk = await watch.next_chunk(chunks)
             if chunk is None:
                 break
+            read_at = self._clock.monotonic()
             events = served.event_buffer.feed(chunk)
             if not events:
                 await held.grow(served.event_buffer.size, MAX_EVENT_BYTES)
@@ -154,6 +161,7 @@
             held.shrink(0)
             outcome.progress = ResponseProgress.content
             outcome.result = CallResult.abandoned
+            self._usage.note_event(served, read_at)
             if not served.has_response_started:
                 await self._start_stream(served, response)
             self._note_write(served, placement, is_first=not writes)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -304,6 +304,8 @@
     routing_state: FakeRoutingState
     seconds: float
     metrics: Metrics
+    # The teams of calls that servers began to run, and when.
+    usage: list[tuple[str, float]]
 
 
 def serve(
@@ -329,6 +331,8 @@
     caller = caller or FakeCaller()
     metrics = Metrics()
     relay = Relay(state, client, VirtualClock(loop), Random(1), metrics)
+    usage: list[tuple[str, float]] = []
+    relay.usage.on_run = lambda team, at: usage.append((team, at))
 
     async def run() -> None:
         if stop is not None:
@@ -342,7 +346,7 @@
 
     try:
         loop.run_until_complete(run())
-        return RelayRun(caller, client, state, loop.time(), metrics)
+        return RelayRun(caller, client, state, loop.time(), metrics, usage)
     finally:
         loop.shut_down()
 
