Report the usage of teams

No host reported how many calls of each team servers ran. It is connected only if the settings name the duty; otherwise no note bears a new field.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -14,7 +14,7 @@
 from burdockledge import host_values
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
-from burdockledge.host_duties import make_duty_holder
+from burdockledge.host_duties import make_duty_holder, make_usage_gossip
 from burdockledge.host_gauges import (
     register_knowledge,
     register_resources,
@@ -170,6 +170,7 @@
         )
         self.clock = clock
         self._connect_components()
+        self.usage_gossip = make_usage_gossip(self, random)
         self.duty_holder = make_duty_holder(self, session, random)
         services: tuple[TaskGroupService, ...] = (
             self.membership,
@@ -177,8 +178,9 @@
             self.store_reader,
             self.evidence_keeper,
         )
-        if self.duty_holder is not None:
-            services = (*services, self.duty_holder)
+        for duty_service in (self.usage_gossip, self.duty_holder):
+            if duty_service is not None:
+                services = (*services, duty_service)
         self._register_gauges(services)
         self.kernel = Kernel()
         # The front stops first: its calls use the other services.
--- a/src/burdockledge/host_duties.py
+++ b/src/burdockledge/host_duties.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from burdockledge.duties import DutyHolder
-from burdockledge.platform import HttpDutyApi, HttpDutyStore
+from burdockledge.platform import (
+    HttpDutyApi,
+    HttpDutyStore,
+    PlatformUsageReport,
+)
+from burdockledge.relay import STREAMS
+from burdockledge.usage import UsageGossip, UsageReporter
 
 if TYPE_CHECKING:
     from random import Random
@@ -17,6 +23,31 @@
     from burdockledge.settings import DutySettings
 
 
+def make_usage_gossip(host: RelayHost, random: Random) -> UsageGossip | None:
+    """
+    Create the service that counts the calls of teams on all hosts.
+
+    :param host: its other components exist already.
+    :return: None if the settings do not name usage reports.
+    """
+    settings = host.settings.duties
+    if settings is None or not settings.reports_usage:
+        return None
+    gossip = UsageGossip(
+        host.settings.host,
+        host.exchange,
+        settings.window_seconds,
+        host.clock,
+        random,
+    )
+    exchange = host.exchange
+    gossip.store_era = lambda: max(
+        exchange.state(stream).era for stream in STREAMS
+    )
+    host.relay.usage.on_run = gossip.note_run
+    return gossip
+
+
 def make_duty_holder(
     host: RelayHost, session: aiohttp.ClientSession, random: Random
 ) -> DutyHolder | None:
@@ -49,7 +80,19 @@
     host: RelayHost, settings: DutySettings, api: DutyApi
 ) -> list[Duty]:
     """Return the duties that the settings name; add new ones here."""
-    return []
+    duties: list[Duty] = []
+    if host.usage_gossip is not None:
+        duties.append(
+            UsageReporter(
+                host.usage_gossip,
+                api,
+                PlatformUsageReport(),
+                settings,
+                host.clock,
+                host.metrics,
+            )
+        )
+    return duties
 
 
-__all__ = ('make_duty_holder',)
+__all__ = ('make_duty_holder', 'make_usage_gossip')
--- a/src/burdockledge/platform/__init__.py
+++ b/src/burdockledge/platform/__init__.py
@@ -15,6 +15,7 @@
 from burdockledge.platform._servers import HttpServerClient
 from burdockledge.platform._settings import load_host_settings
 from burdockledge.platform._store import StoreClient
+from burdockledge.platform._usage_report import PlatformUsageReport
 
 __all__ = (
     'Front',
@@ -24,6 +25,7 @@
     'PartEndpoint',
     'PartRelease',
     'PlatformDecoder',
+    'PlatformUsageReport',
     'PARTS_PATH',
     'RELEASE_CONTEXT',
     'StoreClient',
--- /dev/null
+++ b/src/burdockledge/platform/_usage_report.py
@@ -0,0 +1,41 @@
+"""The platform's form of usage reports."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from burdockledge.usage import UsageReportFormat
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class _Report(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    window_id: int
+    counts: dict[str, Annotated[int, Field(ge=0)]]
+
+
+class PlatformUsageReport(UsageReportFormat):
+    """Reports as JSON, with the same bytes for the same counts."""
+
+    def encode(self, window: int, counts: Mapping[str, int]) -> bytes:
+        """Return the report of a window."""
+        report = {'window_id': window, 'counts': counts}
+        return json.dumps(
+            report, sort_keys=True, separators=(',', ':')
+        ).encode()
+
+    def window_of(self, report: bytes) -> int | None:
+        """Return the window of a report, None if it can not be read."""
+        try:
+            return _Report.model_validate_json(report).window_id
+        except ValidationError:
+            return None
+
+
+__all__ = ('PlatformUsageReport',)
--- a/src/burdockledge/replication/__init__.py
+++ b/src/burdockledge/replication/__init__.py
@@ -6,6 +6,7 @@
 from burdockledge.replication._exchange import (
     STORE_SOURCE,
     GossipExchange,
+    NoteListener,
     NoteRejection,
     StreamListener,
 )
@@ -31,6 +32,7 @@
     'EvidenceKeeper',
     'GossipExchange',
     'MergeResult',
+    'NoteListener',
     'NoteRejection',
     'Peer',
     'PeerGroups',
--- a/src/burdockledge/replication/_exchange.py
+++ b/src/burdockledge/replication/_exchange.py
@@ -72,6 +72,8 @@
 
 StreamListener = Callable[[str, tuple[StreamEntry, ...]], None]
 CallEventListener = Callable[[Note], None]
+# Called with a note and the address of its sender.
+NoteListener = Callable[[Note, str], None]
 
 
 class GossipExchange(TaskGroupService):
@@ -91,7 +93,8 @@
     ``on_change`` is called after each merged update, also if nothing changed;
     ``on_call_events`` is called with each note that may hold call events.
     ``bootstrap_addresses`` returns addresses to pull from while no peer is
-    known.
+    known. With ``sends_time``, pulls of streams and their answers bear the time
+    at which they were sent; ``on_note`` is called with each note.
 
     ``sources`` tells by stream whence its newest records came: the address of
     a peer, or ``STORE_SOURCE``. ``left_out_notes`` counts notes and fragments
@@ -133,6 +136,8 @@
         self.on_restore: Callable[[str], None] | None = None
         self.on_change: StreamListener | None = None
         self.on_call_events: CallEventListener | None = None
+        self.sends_time = False
+        self.on_note: NoteListener | None = None
 
     def state(self, stream: str) -> StreamState:
         """Return the state of a stream."""
@@ -182,6 +187,11 @@
             self.peers.addresses, Note(self._own_host, limited_calls=[server])
         )
 
+    def send(self, address: str, note: Note) -> None:
+        """Send a note to one host, with the time."""
+        note.sent_at_ms = self._clock.wall_ms()
+        self._send([address], note)
+
     async def _resend_later(self, update: StreamUpdate) -> None:
         published_at = self._clock.monotonic()
         await asyncio.sleep(_RESEND_DELAY_SECONDS)
@@ -230,9 +240,13 @@
                 self._own_host,
                 pulls=pulls,
                 evidence_digest=self._evidence_digest(),
+                sent_at_ms=self._time_to_send(),
             ),
         )
 
+    def _time_to_send(self) -> int | None:
+        return self._clock.wall_ms() if self.sends_time else None
+
     def _send(self, addresses: list[str], note: Note) -> None:
         datagrams = self._make_datagrams(note)
         for address in addresses:
@@ -277,6 +291,8 @@
         self, note: Note, source: str, encoded: bytes | None = None
     ) -> None:
         """Use a note; ``encoded`` is None if it came in fragments."""
+        if self.on_note is not None:
+            self.on_note(note, source)
         if note.updates or note.pulls:
             self._handle_streams(note, source)
         if note.has_call_events:
@@ -354,7 +370,14 @@
             if pull.stream in self._states and self._is_ahead_of(pull, now)
         ]
         if updates:
-            self._send([source], Note(self._own_host, updates=updates))
+            self._send(
+                [source],
+                Note(
+                    self._own_host,
+                    updates=updates,
+                    sent_at_ms=self._time_to_send(),
+                ),
+            )
 
     def _is_ahead_of(self, pull: StreamPull, now: float) -> bool:
         state = self._states[pull.stream]
@@ -425,6 +448,7 @@
     'STORE_SOURCE',
     'CallEventListener',
     'GossipExchange',
+    'NoteListener',
     'NoteRejection',
     'StreamListener',
 )
--- a/src/burdockledge/replication/_groups.py
+++ b/src/burdockledge/replication/_groups.py
@@ -81,6 +81,7 @@
     def replace(self, others: Sequence[Peer]) -> None:
         """Replace the other hosts and compute the groups again."""
         self.addresses = [peer.address for peer in others]
+        self.addresses_by_host = {peer.host: peer.address for peer in others}
         self.groups = PeerGroups(self.own_peer, others)
 
 
--- /dev/null
+++ b/tests/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of usage reports."""
