--- a/src/burdockledge/usage/_collector.py
+++ b/src/burdockledge/usage/_collector.py
@@ -53,6 +53,17 @@
                 known[name] = max(count, known.get(name, 0))
         self.complete_before = max(self.complete_before, totals.complete_before)
 
+    def totals_from(self, first: int) -> UsageTotals:
+        """Return the totals from a window on."""
+        windows = {
+            window: counts
+            for window, counts in self.windows.items()
+            if window >= first
+        }
+        return UsageTotals(
+            self.host, self.number, self.complete_before, windows
+        )
+
     def forget_before(self, window: int) -> None:
         """Drop windows that are not reported any more."""
         if min(self.windows, default=window) < window:
@@ -139,7 +150,9 @@
             ask.last_at = now
         return due
 
-    def pull_for(self, host: str, *, is_holder: bool) -> UsagePull:
+    def pull_for(
+        self, host: str, own_process: int, *, is_holder: bool
+    ) -> UsagePull:
         """Return the question for the totals that are missing of a host."""
         process = self._newest.get(host)
         return UsagePull(
@@ -147,39 +160,33 @@
             max(self._complete_before(host), self.reported_before),
             self.reported_before,
             is_holder,
+            own_process,
         )
 
     def ended_processes(
-        self, first: int, living: Collection[str]
+        self, first: int, living: Collection[str], asker: str, process: int
     ) -> list[UsageTotals]:
         """
         Return totals of processes that seem to have ended, newest first.
 
         Another host that reports usage may lack them.
+
+        :param first: the first window that it lacks.
+        :param living: the hosts that are not considered dead.
+        :param asker: the other host.
+        :param process: its process, which replaces former ones.
         """
         ended = [
-            process
-            for process in self._processes.values()
-            if self._has_ended(process, living)
+            known
+            for known in self._processes.values()
+            if (known.host == asker and known.number != process)
+            or self._has_ended(known, living)
+        ]
+        ended.sort(key=lambda known: known.heard_at, reverse=True)
+        answers = [known.totals_from(first) for known in ended]
+        return [totals for totals in answers if totals.windows][
+            :_MAX_ENDED_PROCESSES
         ]
-        ended.sort(key=lambda process: process.heard_at, reverse=True)
-        answers = []
-        for process in ended:
-            windows = {
-                window: counts
-                for window, counts in process.windows.items()
-                if window >= first
-            }
-            if windows:
-                answers.append(
-                    UsageTotals(
-                        process.host,
-                        process.number,
-                        process.complete_before,
-                        windows,
-                    )
-                )
-        return answers[:_MAX_ENDED_PROCESSES]
 
     def _complete_before(self, host: str) -> int:
         process = self._newest.get(host)
--- a/src/burdockledge/usage/_gossip.py
+++ b/src/burdockledge/usage/_gossip.py
@@ -175,7 +175,9 @@
         due = self._collector.due_hosts(addresses, now, self.now())
         is_holder = self._is_holder(now)
         for host in due:
-            pull = self._collector.pull_for(host, is_holder=is_holder)
+            pull = self._collector.pull_for(
+                host, self._process, is_holder=is_holder
+            )
             self._exchange.send(
                 addresses[host], Note(self._host, usage_pull=pull)
             )
@@ -216,18 +218,18 @@
         first = pull.reported_before
         if pull.process == self._process:
             first = pull.from_window
-        self._answer(source, first, pull.reported_before)
-
-    def _answer(
-        self, address: str, first: int, reported_before: int | None = None
-    ) -> None:
-        """
-        Send own totals, and those of ended processes to another asker.
+        ended: list[UsageTotals] = []
+        if self._asking_since is not None:
+            ended = self._collector.ended_processes(
+                pull.reported_before,
+                (self._host, *self._exchange.peers.addresses_by_host),
+                host,
+                pull.own_process,
+            )
+        self._answer(source, first, *ended)
 
-        :param first: the first window of the own totals.
-        :param reported_before: the first window of ended processes, None to
-            leave them out.
-        """
+    def _answer(self, address: str, first: int, *others: UsageTotals) -> None:
+        """Send own totals from a window on, and those of other processes."""
         closed_before = self._counter.close(self.now())
         oldest = closed_before - _MAX_WINDOWS + 1
         if first < oldest:
@@ -238,13 +240,10 @@
                 closed_before = min(closed_before, max(windows) + 1)
         else:
             windows = self._counter.totals(first)
-        totals = [
-            UsageTotals(self._host, self._process, closed_before, windows)
-        ]
-        if reported_before is not None and self._asking_since is not None:
-            living = {self._host, *self._exchange.peers.addresses_by_host}
-            totals += self._collector.ended_processes(reported_before, living)
-        self._exchange.send(address, Note(self._host, usage_totals=totals))
+        totals = UsageTotals(self._host, self._process, closed_before, windows)
+        self._exchange.send(
+            address, Note(self._host, usage_totals=[totals, *others])
+        )
 
     def _true_time(self, at: float) -> float:
         return self._fleet_clock.seconds_at(
--- a/src/burdockledge/wire/_usage.py
+++ b/src/burdockledge/wire/_usage.py
@@ -33,13 +33,15 @@
 
     The window is ``from_window`` for the process ``process`` of the host, and
     ``reported_before`` for another one. ``is_holder`` tells whether the sender
-    reports the usage.
+    reports the usage. ``own_process`` is the process of the sender, which may
+    lack the totals of former ones.
     """
 
     process: int
     from_window: int
     reported_before: int
     is_holder: bool
+    own_process: int
 
 
 def build_totals_struct(totals: UsageTotals) -> Any:
--- a/src/burdockledge/wire/burdockledge.thrift
+++ b/src/burdockledge/wire/burdockledge.thrift
@@ -225,6 +225,8 @@
   3: i64 reported_before,
   // Whether the sender reports usage.
   4: bool is_holder,
+  // The sender's process; it may lack the totals of former ones.
+  5: i64 own_process,
 }
 
 // A gossip message between two hosts.
--- a/tests/usage/test_counts.py
+++ b/tests/usage/test_counts.py
@@ -85,10 +85,13 @@
     collector.merge(totals('h', 1, 7, a=6), 'other', 3)
     assert collector.counts(7) == {'a': 8, 'b': 1}
     assert collector.missing(7, ['h', 'never heard']) == ['h', 'never heard']
-    assert collector.ended_processes(7, {'h'}) == [totals('h', 1, 7, a=6, b=1)]
+    assert collector.ended_processes(7, {'h'}, 'x', 9) == [
+        totals('h', 1, 7, a=6, b=1)
+    ]
+    assert len(collector.ended_processes(7, {'h'}, 'h', 9)) == 2
     collector.merge(totals('h', 2, 8, a=2), 'h', 4)
     assert collector.missing(7, ['h']) == []
-    assert collector.pull_for('h', is_holder=False).from_window == 8
+    assert collector.pull_for('h', 9, is_holder=False).from_window == 8
 
 
 def test_a_silent_host_is_asked_at_a_bounded_rate() -> None:
--- a/tests/wire/test_notes.py
+++ b/tests/wire/test_notes.py
@@ -54,7 +54,7 @@
         limited_calls=[2**32 - 1],
         written_at_ms=2**41,
         sent_at_ms=2**41,
-        usage_pull=UsagePull(2**40, 5, 4, True),
+        usage_pull=UsagePull(2**40, 5, 4, True, 2**41),
         usage_totals=[UsageTotals('host', 2**40, 5, {4: {'team': 3}, 5: {}})],
     )
 
