--- a/src/burdockledge/host_duties.py
+++ b/src/burdockledge/host_duties.py
@@ -6,7 +6,13 @@
 
 from burdockledge.autoscaling import KnownFleet, ServerOrders
 from burdockledge.duties import DutyHolder
-from burdockledge.platform import HttpDutyApi, HttpDutyStore
+from burdockledge.platform import (
+    HttpDutyApi,
+    HttpDutyStore,
+    PlatformUsageReport,
+)
+from burdockledge.relay import STREAMS
+from burdockledge.usage import UsageGossip, UsageReporter
 
 if TYPE_CHECKING:
     from random import Random
@@ -18,6 +24,31 @@
     from burdockledge.settings import DutySettings
 
 
+def make_usage_gossip(host: RelayHost, random: Random) -> UsageGossip | None:
+    """
+    Create the service that counts the calls of teams on all hosts.
+
+    :param host: its other components exist already.
+    :return: None if the settings do not name usage reports.
+    """
+    settings = host.settings.duties
+    if settings is None or not settings.reports_usage:
+        return None
+    gossip = UsageGossip(
+        host.settings.host,
+        host.exchange,
+        settings.window_seconds,
+        host.clock,
+        random,
+    )
+    exchange = host.exchange
+    gossip.store_era = lambda: max(
+        exchange.state(stream).era for stream in STREAMS
+    )
+    host.relay.usage.on_run = gossip.note_run
+    return gossip
+
+
 def make_duty_holder(
     host: RelayHost, session: aiohttp.ClientSession, random: Random
 ) -> DutyHolder | None:
@@ -51,6 +82,17 @@
 ) -> list[Duty]:
     """Return the duties that the settings name; add new ones here."""
     duties: list[Duty] = []
+    if host.usage_gossip is not None:
+        duties.append(
+            UsageReporter(
+                host.usage_gossip,
+                api,
+                PlatformUsageReport(),
+                settings,
+                host.clock,
+                host.metrics,
+            )
+        )
     if settings.orders_servers:
         duties.append(_make_server_orders(host, settings, api))
     return duties
@@ -70,4 +112,4 @@
     )
 
 
-__all__ = ('make_duty_holder',)
+__all__ = ('make_duty_holder', 'make_usage_gossip')
