Predict pauses by the pending tokens, and separate long prompts

The extra pause of streams under prefill was one learnt quantile for prompts of all sizes, so a prompt of 17,000 uncached tokens counted like one of 1,000, and several queued prompts were not added up.

With PlacementOptions.weighs_pressure, set from sheds_load, another policy predicts pauses by a bounded line of the pending tokens; its bound is learnt only from pauses that had enough to prefill. Streams with short pauses and prompts that would lengthen them prefer opposite ends of a fixed order of servers. A prefill costs more at servers that prefill much. Without the option choices and random draws are as before. LoadTracker, CallStart and the types of a placement have modules of their own.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -43,6 +43,7 @@
     Peer,
     StoreReader,
 )
+from burdockledge.scheduling import PlacementOptions
 from burdockledge.settings_watcher import SettingsWatcher
 from burdockledge.telemetry import (
     Metrics,
@@ -151,6 +152,7 @@
             _retry_budget_settings(settings),
             clock,
             random,
+            PlacementOptions(weighs_pressure=settings.sheds_load),
         )
         self.evidence_keeper = EvidenceKeeper(
             settings.host,
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -24,8 +24,9 @@
     CallStart,
     HealthTracker,
     LoadTracker,
-    PlacementPolicy,
+    PlacementOptions,
     PlacementRequest,
+    make_policy,
 )
 from burdockledge.telemetry import make_logger
 from burdockledge.wire import (
@@ -81,6 +82,7 @@
         retry_settings: RetryBudgetSettings,
         clock: Clock,
         random: Random,
+        placement_options: PlacementOptions | None = None,
     ) -> None:
         """Subscribe to the records and call events of an exchange."""
         self._host = host
@@ -92,9 +94,10 @@
         self._budgets = RetryBudgets(retry_settings)
         self._clock = clock
         self._random = random
-        self._loads = LoadTracker()
+        options = placement_options or PlacementOptions()
+        self._loads = LoadTracker(options)
         self._health = HealthTracker(host)
-        self._policy = PlacementPolicy(self._loads, self._health, random)
+        self._policy = make_policy(options, self._loads, self._health, random)
         self.parts = PartGuard(exchange, clock, random)
         self.limits = LimitGuard(exchange, clock, random)
         self.gate = ServerGate(registry, self.limits.limits)
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+from burdockledge.scheduling._call_start import CallStart
 from burdockledge.scheduling._health import CallResult, HealthTracker
 from burdockledge.scheduling._load import (
     DEFAULT_CALL_EXPIRY_SECONDS,
-    CallStart,
-    LoadTracker,
     ServerLoad,
 )
+from burdockledge.scheduling._load_tracker import LoadTracker
 from burdockledge.scheduling._notices import ServerNotice, ServerNotices
-from burdockledge.scheduling._policy import (
+from burdockledge.scheduling._placement import (
     PlacementChoice,
-    PlacementPolicy,
+    PlacementOptions,
     PlacementRequest,
+    ServerPolicy,
 )
+from burdockledge.scheduling._policy import PlacementPolicy
 from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
+from burdockledge.scheduling._pressure_policy import PressurePolicy, make_policy
 from burdockledge.scheduling._rate_limits import LimitChange, ServerRateLimits
 from burdockledge.scheduling._timing import (
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
@@ -31,12 +34,16 @@
     'LimitChange',
     'LoadTracker',
     'PlacementChoice',
+    'PlacementOptions',
     'PlacementPolicy',
     'PlacementRequest',
     'PrefixCacheEstimate',
+    'PressurePolicy',
     'ServerLoad',
     'ServerNotice',
     'ServerNotices',
+    'ServerPolicy',
     'ServerRateLimits',
     'ServiceTiming',
+    'make_policy',
 )
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -1,4 +1,4 @@
-"""Tracks the load that all entry hosts put on each backend server."""
+"""The load that all entry hosts put on one backend server."""
 
 from __future__ import annotations
 
@@ -6,18 +6,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
-from burdockledge.scheduling._timing import ServiceTiming
+from burdockledge.scheduling._call_start import add_weight
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
-    from burdockledge.calls import Prompt, ServerInstance
+    from burdockledge.calls import Prompt
+    from burdockledge.scheduling._call_start import CallStart
+    from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
+    from burdockledge.scheduling._pressure import ServerPressure
+    from burdockledge.scheduling._timing import ServiceTiming
 
 # A call is dropped after this time, as the news of its end may be lost with
 # the host that sent it; the longest time limit of the routes replaces it.
 DEFAULT_CALL_EXPIRY_SECONDS: Final = 30.0
-_DEFAULT_CACHE_TOKENS: Final = 500_000
 _SPEED_SAMPLE_WEIGHT: Final = 0.2
 _PAUSE_RATIO_SAMPLE_WEIGHT: Final = 0.02
 _EVENTS_SAMPLE_WEIGHT: Final = 0.1
@@ -27,39 +27,9 @@
 # The prefill of a call is forecast from that of this time before it.
 _PREFILL_SHARE_SECONDS: Final = 2.0
 _MAX_PREFILL_SHARE: Final = 0.95
+# An exponential for each server and choice costs more than this error.
+_ROUGH_SECONDS: Final = 0.05
 _MIN_SECONDS: Final = 0.001
-# Sums of weights below this are rounding errors.
-_MIN_WEIGHT: Final = 1e-6
-# Each step of urgency counts for less by this factor.
-_WEIGHT_RATIO: Final = 0.75
-
-
-def urgency_weight(urgency: int) -> float:
-    """Return the loss if a call misses its target, 1 for the most urgent."""
-    return float(_WEIGHT_RATIO**urgency)
-
-
-class CallStart(NamedTuple):
-    """
-    A call that any host sent to a server.
-
-    ``prefill_tokens`` is the part of the prompt that the server has to
-    prefill. Urgency 0 is the highest priority. A stream whose events pause
-    for longer than ``pause_target_seconds`` is late.
-    """
-
-    call_id: int
-    instance_id: str
-    urgency: int
-    prefill_tokens: int
-    prompt: Prompt
-    max_output_tokens: int = 0
-    pause_target_seconds: float | None = None
-
-    @property
-    def weight(self) -> float:
-        """The loss if the call misses its target, 1 for the most urgent."""
-        return urgency_weight(self.urgency)
 
 
 @dataclass(slots=True)
@@ -91,7 +61,8 @@
 
     ``speed_ratio`` is its prefill rate in relation to that of its service.
     ``stream_weights`` holds the summed weights of the running streams by
-    their pause targets. Times are in seconds of the monotonic clock.
+    their pause targets. ``pressure`` is None unless it is weighed. Times are in
+    seconds of the monotonic clock.
     """
 
     def __init__(
@@ -99,9 +70,11 @@
         cache: PrefixCacheEstimate,
         timing: ServiceTiming,
         call_expiry_seconds: float = DEFAULT_CALL_EXPIRY_SECONDS,
+        pressure: ServerPressure | None = None,
     ) -> None:
         """Create the load of an idle instance of a service."""
         self.cache = cache
+        self.pressure = pressure
         self.timing = timing
         self.call_expiry_seconds = call_expiry_seconds
         self.speed_ratio = 1.0
@@ -142,6 +115,8 @@
         self._decay_recent(now)
         self._recent_tokens += call.prefill_tokens
         self._recent_token_squares += call.prefill_tokens**2
+        if self.pressure is not None:
+            self.pressure.start(call, now, self.prefill_tokens_per_second)
         self.cache.add(call.prompt)
 
     def note_first_event(
@@ -160,6 +135,8 @@
             return
         self.cache.mark_prefilled(pending.prompt)
         self._prefill_since = now
+        if self.pressure is not None and not self._pending:
+            self.pressure.note_no_backlog(now)
         if seconds and pending.had_no_backlog and pending.prompt.parts:
             self._learn_speed(pending.tokens, seconds)
 
@@ -167,6 +144,13 @@
         """Learn from a pause of a stream that ends now."""
         began_at = now - seconds
         running_calls = self.running_calls(now)
+        if self.pressure is not None:
+            self.pressure.note_pause(
+                seconds,
+                self.pause_seconds(running_calls),
+                now,
+                self.prefill_tokens_per_second,
+            )
         if self._pending:
             oldest = next(iter(self._pending.values()))
             if oldest.sent_at <= began_at and self.backlog_seconds(None, now):
@@ -186,6 +170,11 @@
         if running is not None and running.pause_target_seconds is not None:
             self._add_stream(running.pause_target_seconds, -running.weight)
 
+    def drop_calls(self) -> None:
+        """Remove all calls, as the server is gone."""
+        for call_id in tuple(self._running):
+            self.end(call_id)
+
     def pause_seconds(self, running_calls: int) -> float:
         """Return the mean pause of a stream, without prompts in prefill."""
         return self._pause_ratio * self.timing.pause_seconds(running_calls)
@@ -204,6 +193,17 @@
             / _PREFILL_SHARE_SECONDS,
         )
 
+    def rough_prefill_share(self, now: float) -> float:
+        """Return the prefill share, of at most some milliseconds ago."""
+        if now - self._recent_at > _ROUGH_SECONDS:
+            self._decay_recent(now)
+        return min(
+            _MAX_PREFILL_SHARE,
+            self._recent_tokens
+            / self.prefill_tokens_per_second
+            / _PREFILL_SHARE_SECONDS,
+        )
+
     def recent_prompt_tokens(self) -> float:
         """Return the mean size of the prompt that a prefilled token is of."""
         if not self._recent_tokens:
@@ -261,11 +261,13 @@
         )
 
     def _add_stream(self, pause_target_seconds: float, weight: float) -> None:
-        total = self.stream_weights.get(pause_target_seconds, 0.0) + weight
-        if total > _MIN_WEIGHT:
-            self.stream_weights[pause_target_seconds] = total
-        else:
-            self.stream_weights.pop(pause_target_seconds, None)
+        add_weight(self.stream_weights, pause_target_seconds, weight)
+        if self.pressure is not None:
+            add_weight(
+                self.pressure.service.stream_weights,
+                pause_target_seconds,
+                weight,
+            )
 
     def _note_stream_events(self, call: CallStart) -> None:
         events = self.timing.expected_events(call.max_output_tokens)
@@ -286,109 +288,4 @@
         self._recent_at = now
 
 
-class LoadTracker:
-    """The loads of all server instances."""
-
-    def __init__(self) -> None:
-        """Create a tracker without instances."""
-        self._loads: dict[str, ServerLoad] = {}
-        self._cache_sizes: dict[str, int] = {}
-        self._services: dict[str, str] = {}
-        self._timings: dict[str, ServiceTiming] = {}
-        self._call_expiry_seconds = DEFAULT_CALL_EXPIRY_SECONDS
-
-    def set_call_expiry(self, seconds: float) -> None:
-        """Drop calls after this time, the longest that any may run."""
-        self._call_expiry_seconds = seconds
-        for load in self._loads.values():
-            load.call_expiry_seconds = seconds
-
-    def set_cache_size(self, instance_id: str, cache_tokens: int) -> None:
-        """Set the size of an instance's prefix cache."""
-        self._cache_sizes[instance_id] = cache_tokens
-        load = self._loads.get(instance_id)
-        if load is not None:
-            load.cache.resize(cache_tokens)
-
-    def load_of(self, instance_id: str) -> ServerLoad:
-        """Return the load of an instance, a new idle one if it is unknown."""
-        load = self._loads.get(instance_id)
-        if load is None:
-            tokens = self._cache_sizes.get(instance_id, _DEFAULT_CACHE_TOKENS)
-            load = ServerLoad(
-                PrefixCacheEstimate(tokens),
-                self._timing_of(instance_id),
-                self._call_expiry_seconds,
-            )
-            self._loads[instance_id] = load
-        return load
-
-    def start(self, call: CallStart, now: float) -> None:
-        """Add a call that this host or another one sent."""
-        self.load_of(call.instance_id).start(call, now)
-
-    def note_first_event(
-        self, instance_id: str, call_id: int, now: float, seconds: float = 0
-    ) -> None:
-        """
-        Record the first event of a call.
-
-        :param seconds: the time since the call was sent, 0 if unknown.
-        """
-        load = self._loads.get(instance_id)
-        if load is not None:
-            load.note_first_event(call_id, now, seconds)
-
-    def note_pause(self, instance_id: str, seconds: float, now: float) -> None:
-        """Learn from a pause of a stream of an instance that ends now."""
-        load = self._loads.get(instance_id)
-        if load is not None:
-            load.note_pause(seconds, now)
-
-    def note_stream_end(
-        self, instance_id: str, max_output_tokens: int, events: int
-    ) -> None:
-        """Learn from a complete stream how many events it had."""
-        load = self._loads.get(instance_id)
-        if load is not None:
-            load.timing.note_stream_end(max_output_tokens, events)
-
-    def end(self, instance_id: str, call_id: int) -> None:
-        """Remove a call that ended."""
-        load = self._loads.get(instance_id)
-        if load is not None:
-            load.end(call_id)
-
-    def retain(self, instances: list[ServerInstance]) -> None:
-        """Drop the loads of all instances but these."""
-        self._services = {
-            instance.instance_id: instance.service for instance in instances
-        }
-        for table in (self._loads, self._cache_sizes):
-            for instance_id in tuple(table):
-                if instance_id not in self._services:
-                    table.pop(instance_id)
-
-    def retain_services(self, services: Collection[str]) -> None:
-        """Drop what was learnt of services without instances but these."""
-        in_use = {*services, *self._services.values()}
-        for service in tuple(self._timings):
-            if service not in in_use:
-                self._timings.pop(service)
-
-    def _timing_of(self, instance_id: str) -> ServiceTiming:
-        service = self._services.get(instance_id, '')
-        timing = self._timings.get(service)
-        if timing is None:
-            timing = ServiceTiming()
-            self._timings[service] = timing
-        return timing
-
-
-__all__ = (
-    'DEFAULT_CALL_EXPIRY_SECONDS',
-    'CallStart',
-    'LoadTracker',
-    'ServerLoad',
-    'urgency_weight',
-)
+__all__ = ('DEFAULT_CALL_EXPIRY_SECONDS', 'ServerLoad')
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -16,11 +16,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from operator import itemgetter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from burdockledge.scheduling._load import urgency_weight
+from burdockledge.scheduling._call_start import urgency_weight
+from burdockledge.scheduling._placement import PlacementChoice, ServerPolicy
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -28,7 +28,9 @@
 
     from burdockledge.calls import Prompt, ServerInstance
     from burdockledge.scheduling._health import HealthTracker
-    from burdockledge.scheduling._load import LoadTracker, ServerLoad
+    from burdockledge.scheduling._load import ServerLoad
+    from burdockledge.scheduling._load_tracker import LoadTracker
+    from burdockledge.scheduling._placement import PlacementRequest
 
 # The first tokens of a call take a few steps, each longer with every call in
 # the batch.
@@ -56,39 +58,6 @@
 _LIMITED_COST_SECONDS: Final = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """
-    The properties of a call that decide on its server.
-
-    Urgency 0 is the highest priority.
-    """
-
-    service: str
-    urgency: int
-    prompt: Prompt
-    data_centre: str
-    latency_target_seconds: float = 1.0
-    pause_target_seconds: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementChoice:
-    """
-    A server with its cost and the figures behind it.
-
-    ``prefill_tokens`` is what the server would have to prefill,
-    ``running_calls`` the calls that it has already. It would fetch cached
-    parts of the prompt from ``cache_source``, if any.
-    """
-
-    instance: ServerInstance
-    cost_seconds: float
-    prefill_tokens: int
-    running_calls: int
-    cache_source: ServerInstance | None = None
-
-
 class _Server(NamedTuple):
     """
     A server, and the tokens of the prompt that it caches or prefills.
@@ -119,7 +88,7 @@
     tokens: int
 
 
-class PlacementPolicy:
+class PlacementPolicy(ServerPolicy):
     """Chooses the server with the lowest cost for a call."""
 
     def __init__(
@@ -387,4 +356,4 @@
     return max(prompt.input_tokens, sum(part.tokens for part in prompt.parts))
 
 
-__all__ = ('PlacementChoice', 'PlacementPolicy', 'PlacementRequest')
+__all__ = ('PlacementPolicy',)
--- a/tests/scheduling/reference_policy.py
+++ b/tests/scheduling/reference_policy.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.scheduling import PlacementChoice
-from burdockledge.scheduling._load import urgency_weight
+from burdockledge.scheduling._call_start import urgency_weight
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -21,7 +21,8 @@
     from burdockledge.calls import Prompt, ServerInstance
     from burdockledge.scheduling import PlacementRequest
     from burdockledge.scheduling._health import HealthTracker
-    from burdockledge.scheduling._load import LoadTracker, ServerLoad
+    from burdockledge.scheduling._load import ServerLoad
+    from burdockledge.scheduling._load_tracker import LoadTracker
 
 # The first tokens of a call take a few steps, each longer with every call in
 # the batch.
--- a/tests/scheduling/test_equal_choices.py
+++ b/tests/scheduling/test_equal_choices.py
@@ -12,8 +12,9 @@
     CallStart,
     HealthTracker,
     LoadTracker,
-    PlacementPolicy,
+    PlacementOptions,
     PlacementRequest,
+    make_policy,
 )
 from tests.scheduling.reference_policy import ReferencePolicy
 
@@ -115,9 +116,13 @@
 
 @pytest.mark.parametrize('seed', range(60))
 def test_choices_are_equal(seed: int) -> None:
-    """Guards against a faster policy that decides or rounds otherwise."""
+    """
+    Guards against a faster policy that decides, rounds or draws otherwise.
+
+    Also against terms for load that take effect without the option.
+    """
     one, other = RandomState(seed), RandomState(seed)
-    fast = PlacementPolicy(one.loads, one.health, Random(seed))
+    fast = make_policy(PlacementOptions(), one.loads, one.health, Random(seed))
     reference = ReferencePolicy(other.loads, other.health, Random(seed))
     for _ in range(STEPS):
         choice = fast.choose(*one.next_arguments())
