--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -44,6 +44,7 @@
     Peer,
     StoreReader,
 )
+from burdockledge.scheduling import PlacementOptions
 from burdockledge.settings_watcher import SettingsWatcher
 from burdockledge.telemetry import (
     Metrics,
@@ -150,6 +151,7 @@
             host_values.retry_budget_settings(settings),
             clock,
             random,
+            PlacementOptions(weighs_pressure=settings.sheds_load),
         )
         self.evidence_keeper = EvidenceKeeper(
             settings.host,
--- a/src/burdockledge/scheduling/_demand.py
+++ b/src/burdockledge/scheduling/_demand.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from burdockledge.scheduling._load import CallStart
+    from burdockledge.scheduling._call_start import CallStart
 
 # Short enough for the demand of the last second.
 PERIOD_SECONDS: Final = 0.5
