Count orders by reason and outcome

Operators saw the reason of an order in the log only. A counter has it now, and a test that a fenced holder sends nothing more.

--- a/src/burdockledge/autoscaling/_orders.py
+++ b/src/burdockledge/autoscaling/_orders.py
@@ -72,6 +72,7 @@
         self._fleet = fleet
         self._api = api
         self._clock = clock
+        self._metrics = metrics
         self._gauges = PlanGauges(metrics)
         self._rate = OrderRate(calls_per_second, clock.monotonic())
         self._is_suspended = is_suspended
@@ -187,6 +188,12 @@
             )
         if outcome is CallOutcome.limited:
             self._rate.note_limited(self._clock.monotonic())
+        self._metrics.count(
+            'server_orders',
+            service=order.view.service,
+            reason=order.plan.reason,
+            outcome=outcome.name,
+        )
         _log_order('Order is sent.', order, outcome=outcome.value)
         service = self._services.get(order.view.service)
         # The lease may have been lost while the call ran.
--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -111,7 +111,9 @@
         if is_addition and now < self.unavailable_until.get(kind, 0):
             outcome = CallOutcome.unavailable
         self.orders.append(Order(now, pool, count, outcome))
-        if self.is_carried_out and outcome is not CallOutcome.unavailable:
+        lease.note_outcome(outcome)
+        is_refused = outcome in {CallOutcome.unavailable, CallOutcome.fenced}
+        if self.is_carried_out and not is_refused:
             asyncio.get_running_loop().call_later(
                 self.late_seconds, self.carry_out_late, pool, count
             )
@@ -156,7 +158,8 @@
         return self.is_store_up
 
     def note_outcome(self, outcome: CallOutcome) -> None:
-        """Do nothing; the test ends the lease itself."""
+        """End the lease as another host has called."""
+        self.is_held = self.is_held and outcome is not CallOutcome.fenced
 
 
 class FakeFleet(Fleet):
--- a/tests/autoscaling/test_orders.py
+++ b/tests/autoscaling/test_orders.py
@@ -292,6 +292,21 @@
     assert not scene.platform.orders
 
 
+def test_a_fenced_holder_orders_nothing_more() -> None:
+    """Guards against calls with a token that is out of date."""
+    scene = Scene(even_fleet())
+    scene.platform.outcome = CallOutcome.fenced
+    scene.play(20)
+    assert len(scene.platform.orders) == 1
+    sent = scene.metrics.counter(
+        'server_orders',
+        service=SERVICE,
+        reason='before traffic',
+        outcome='fenced',
+    )
+    assert sent == 1
+
+
 def test_no_server_is_removed_by_old_registrations() -> None:
     """Guards against removals while the store is away."""
     scene = Scene(even_fleet())
