--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -83,6 +83,14 @@
             for pool, times in self._ready_at.items()
         }
 
+    def ready_by_kind(self) -> dict[ServerKind, int]:
+        """Return the ready servers by kind."""
+        ready = self.ready()
+        return {
+            kind: sum(n for pool, n in ready.items() if pool.kind is kind)
+            for kind in ServerKind
+        }
+
     def reclaim(self, data_centre: str) -> None:
         """Take all spot servers of a data centre; they drain at once."""
         self._ready_at[spot(data_centre)] = []
@@ -226,11 +234,7 @@
 
     def kinds(self) -> dict[ServerKind, int]:
         """Return the ready servers of each kind."""
-        ready = self.platform.ready()
-        return {
-            kind: sum(n for pool, n in ready.items() if pool.kind is kind)
-            for kind in ServerKind
-        }
+        return self.platform.ready_by_kind()
 
     async def _play(self, end: float) -> None:
         while self.now < end:
