--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -83,6 +83,14 @@
             for pool, times in self._ready_at.items()
         }
 
+    def ready_by_kind(self) -> dict[ServerKind, int]:
+        """Return the ready servers by kind."""
+        ready = self.ready()
+        return {
+            kind: sum(n for pool, n in ready.items() if pool.kind is kind)
+            for kind in ServerKind
+        }
+
     def reclaim(self, data_centre: str) -> None:
         """Take all spot servers of a data centre; they drain at once."""
         self._ready_at[spot(data_centre)] = []
@@ -111,7 +119,9 @@
         if is_addition and now < self.unavailable_until.get(kind, 0):
             outcome = CallOutcome.unavailable
         self.orders.append(Order(now, pool, count, outcome))
-        if self.is_carried_out and outcome is not CallOutcome.unavailable:
+        lease.note_outcome(outcome)
+        is_refused = outcome in {CallOutcome.unavailable, CallOutcome.fenced}
+        if self.is_carried_out and not is_refused:
             asyncio.get_running_loop().call_later(
                 self.late_seconds, self.carry_out_late, pool, count
             )
@@ -156,7 +166,8 @@
         return self.is_store_up
 
     def note_outcome(self, outcome: CallOutcome) -> None:
-        """Do nothing; the test ends the lease itself."""
+        """End the lease as another host has called."""
+        self.is_held = self.is_held and outcome is not CallOutcome.fenced
 
 
 class FakeFleet(Fleet):
@@ -223,11 +234,7 @@
 
     def kinds(self) -> dict[ServerKind, int]:
         """Return the ready servers of each kind."""
-        ready = self.platform.ready()
-        return {
-            kind: sum(n for pool, n in ready.items() if pool.kind is kind)
-            for kind in ServerKind
-        }
+        return self.platform.ready_by_kind()
 
     async def _play(self, end: float) -> None:
         while self.now < end:
