Make the tests of usage reports fail without what they guard

Five rules could be taken out without a failing test: the first second of a process, the highest of two totals, the last counts of a stopping host, the same bytes for a repeated write, and records written again after a restore.

--- a/tests/usage/fleet.py
+++ b/tests/usage/fleet.py
@@ -50,6 +50,8 @@
     era: int = 0
     end: int = 0
     is_down: bool = False
+    # The contents of all writes, also of those that failed.
+    writes: list[bytes] = field(default_factory=list)
     # Returns whether a write is stored, and whether it is answered.
     fault: Callable[[str], tuple[bool, bool]] = lambda _: (True, True)
 
@@ -81,6 +83,7 @@
         """Write a record, unless the test says otherwise."""
         await asyncio.sleep(0.01)
         store = self._store
+        store.writes.append(content)
         if not self.holds or store.is_down:
             return False
         is_stored, is_answered = store.fault(key)
--- a/tests/usage/test_counts.py
+++ b/tests/usage/test_counts.py
@@ -80,6 +80,7 @@
     collector = UsageCollector(WINDOW_SECONDS)
     collector.merge(totals('h', 1, 7, a=5, b=1), 'h', 1)
     collector.merge(totals('h', 1, 7, a=4), 'h', 2)
+    assert collector.counts(7) == {'a': 5, 'b': 1}
     collector.merge(totals('h', 2, 7, a=2), 'h', 3)
     # Another asker knew more of the process that ended.
     collector.merge(totals('h', 1, 7, a=6), 'other', 3)
--- a/tests/usage/test_failures.py
+++ b/tests/usage/test_failures.py
@@ -74,12 +74,12 @@
 
     async def scenario(fleet: UsageFleet) -> None:
         fleet.hold('h0')
-        await asyncio.sleep(13.6)
+        await asyncio.sleep(13.4)
         host = fleet.hosts.pop('h3')
         fleet._introduce()
         await asyncio.sleep(0.05)
         await host.gossip.stop()
-        await asyncio.sleep(SECONDS - 13.6)
+        await asyncio.sleep(SECONDS - 13.4)
         assert fleet.missed(0, LAST_WINDOW) == []
 
     UsageFleet().run(scenario)
@@ -186,20 +186,27 @@
     UsageFleet().run(scenario)
 
 
-def test_a_late_holder_decides_no_window_of_an_era_before() -> None:
+@pytest.mark.parametrize(
+    ('killed_at', 'started_at', 'held_at'),
+    [(17.0, 18.0, 18.0), (13.5, 14.5, 15.2)],
+)
+def test_a_late_holder_decides_no_window_of_an_era_before(
+    killed_at: float, started_at: float, held_at: float
+) -> None:
     """Guards against a new process that knows nothing of former reports."""
 
     async def scenario(fleet: UsageFleet) -> None:
         fleet.hold('h0')
-        await asyncio.sleep(17)
+        await asyncio.sleep(killed_at)
         await fleet.kill('h0')
         fleet.store.records.clear()
         fleet.store.era += 1
-        await asyncio.sleep(1)
+        await asyncio.sleep(started_at - killed_at)
         await fleet.start('h0')
+        await asyncio.sleep(held_at - started_at)
         sent = len(fleet.api.executed)
         fleet.hold('h0')
-        await asyncio.sleep(SECONDS - 18)
+        await asyncio.sleep(SECONDS - held_at)
         windows = [
             json.loads(report)['window_id'] - FIRST_WINDOW
             for _, report in fleet.api.executed[sent:]
@@ -209,6 +216,56 @@
     UsageFleet().run(scenario)
 
 
+def test_reports_that_a_restore_lost_are_recorded_again() -> None:
+    """Guards against windows that end with the process that decided them."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.hold('h0')
+        await asyncio.sleep(9)
+        fleet.api.fault = lambda _: CallOutcome.unknown
+        await asyncio.sleep(3)
+        fleet.store.records.clear()
+        fleet.store.era += 1
+        fleet.end_lease('h0')
+        await asyncio.sleep(0.5)
+        fleet.hold('h0')
+        await asyncio.sleep(3)
+        await fleet.kill('h0')
+        await asyncio.sleep(4.5)
+        fleet.api.fault = lambda _: CallOutcome.accepted
+        fleet.hold('h2')
+        await asyncio.sleep(SECONDS - 20)
+        # Window 3 has lost calls of the killed host.
+        assert set(fleet.missed(0, LAST_WINDOW)) <= {3}
+
+    UsageFleet().run(scenario)
+
+
+def test_a_window_is_written_with_the_same_counts_again() -> None:
+    """Guards against two reports of a window, one of which is stored late."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.hold('h0')
+        await asyncio.sleep(8.5)
+        process = fleet.hosts['h3'].process
+        fleet.loop.freeze(process)
+        fleet.store.fault = lambda _: (False, False)
+        await asyncio.sleep(5.4)
+        fleet.loop.thaw(process)
+        # The host that was frozen answers meanwhile.
+        await asyncio.sleep(2.5)
+        fleet.store.fault = lambda _: (True, True)
+        await asyncio.sleep(SECONDS - 16.4)
+        writes = {
+            content
+            for content in fleet.store.writes
+            if json.loads(content)['window_id'] == FIRST_WINDOW + 1
+        }
+        assert len(writes) == 1
+
+    UsageFleet().run(scenario)
+
+
 @pytest.mark.parametrize('part', ['store', 'api refuses', 'api is silent'])
 @pytest.mark.parametrize('seconds', [8.0, 45.0])
 def test_reports_are_kept_while_store_or_api_is_away(
