--- a/src/burdockledge/duties/__init__.py
+++ b/src/burdockledge/duties/__init__.py
@@ -14,6 +14,7 @@
     StoreRecord,
     StoreSnapshot,
 )
+from burdockledge.duties._watch_order import find_place
 
 __all__ = (
     'CallOutcome',
@@ -26,4 +27,5 @@
     'StoreFailure',
     'StoreRecord',
     'StoreSnapshot',
+    'find_place',
 )
--- a/src/burdockledge/platform/_usage_report.py
+++ b/src/burdockledge/platform/_usage_report.py
@@ -25,10 +25,8 @@
 
     def encode(self, window: int, counts: Mapping[str, int]) -> bytes:
         """Return the report of a window."""
-        report = {'window_id': window, 'counts': counts}
-        return json.dumps(
-            report, sort_keys=True, separators=(',', ':')
-        ).encode()
+        report = {'window_id': window, 'counts': dict(sorted(counts.items()))}
+        return json.dumps(report, separators=(',', ':')).encode()
 
     def window_of(self, report: bytes) -> int | None:
         """Return the window of a report, None if it can not be read."""
--- a/src/burdockledge/usage/_gossip.py
+++ b/src/burdockledge/usage/_gossip.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from burdockledge.hashing import rank
+from burdockledge.duties import find_place
 from burdockledge.kernel import TaskGroupService
 from burdockledge.usage._collector import UsageCollector
 from burdockledge.usage._counter import UsageCounter
@@ -33,15 +33,14 @@
 _MAX_WINDOWS: Final = 4
 _PROCESS_BITS: Final = 48
 _FAREWELLS: Final = 3
-_RANK_KEY: Final = 'usage'
 
 
 class UsageGossip(TaskGroupService, UsageSource):
     """
     Counts own calls, and collects the counts of all hosts where it must.
 
-    The holder of the duty collects them, and the first other host in line,
-    which thus knows what killed hosts have counted if the holder is killed.
+    The holder of the duty collects them, and the host that is to claim it
+    next, which thus knows what killed hosts have counted.
     ``store_era`` returns the newest known era of the store.
     """
 
@@ -156,12 +155,13 @@
     def _must_ask(self, now: float) -> bool:
         if self._is_holder(now):
             return True
-        hosts = {self._host, *self._exchange.peers.addresses_by_host}
-        if self._holder is not None:
-            holder, heard_at = self._holder
-            if now - heard_at < _HOLDER_SECONDS and len(hosts) > 1:
-                hosts.discard(holder)
-        return rank(_RANK_KEY, hosts)[:1] == [self._host]
+        holder = None
+        if self._holder is not None and (
+            now - self._holder[1] < _HOLDER_SECONDS
+        ):
+            holder = self._holder[0]
+        peers = self._exchange.peers.addresses_by_host
+        return find_place(self._host, peers, holder) == 0
 
     def _is_holder(self, now: float) -> bool:
         return (
--- a/src/burdockledge/usage/_reporter.py
+++ b/src/burdockledge/usage/_reporter.py
@@ -68,7 +68,7 @@
         self._reports = UsageReports(
             report_format, settings.window_seconds, KEPT_SECONDS
         )
-        # Bytes whose write has not succeeded under the present lease.
+        # Bytes whose write has not succeeded, while the duty is held.
         self._unrecorded: dict[int, bytes] = {}
         # Since when no other host can have held the duty, in true time.
         self._held_since = 0.0
@@ -101,11 +101,11 @@
 
     def forget(self) -> None:
         """
-        Drop the reports whose writes have not succeeded.
+        Keep all: what a gap between two leases makes doubtful is told by time.
 
-        Another holder decides these windows, unless the records show them.
+        Within the length of a lease this process may hold the duty again, and
+        a write of the former lease may still succeed.
         """
-        self._unrecorded.clear()
 
     def _note_run(self, now: float) -> None:
         """
@@ -118,6 +118,8 @@
         self._ran_at = self._clock.monotonic()
         if ran_at is None or self._ran_at - ran_at >= self._lease_seconds:
             self._held_since = now
+            # Another holder decides these windows, unless records show them.
+            self._unrecorded.clear()
 
     def _first_window(self, lease: Lease) -> int:
         """
