Keep the counts of windows that a holder leaves out

A holder that left a window out told the hosts that it is reported, and they dropped its counts; a later holder that may decide the window reported it as empty. Hosts drop counts of recorded windows only, and no holder decides a window whose counts are dropped.

--- a/src/burdockledge/usage/_gossip.py
+++ b/src/burdockledge/usage/_gossip.py
@@ -112,12 +112,16 @@
         first_seen_at = self._eras.setdefault(era, self._clock.monotonic())
         return self._true_time(first_seen_at)
 
-    def note_holding(self, reported_before: int) -> None:
+    def kept_from(self) -> int:
+        """Return the first window whose counts are kept."""
+        return self._collector.reported_before
+
+    def note_holding(self, recorded_before: int) -> None:
         """Record that this host reports usage now."""
         self._holding_at = self._clock.monotonic()
         self._holder = (self._host, self._holding_at)
         self._collector.reported_before = max(
-            self._collector.reported_before, reported_before
+            self._collector.reported_before, recorded_before
         )
         if self._asking_since is None:
             self._asking_since = self._holding_at
--- a/src/burdockledge/usage/_ports.py
+++ b/src/burdockledge/usage/_ports.py
@@ -33,13 +33,17 @@
         """Return when this process first saw an era of the store."""
 
     @abstractmethod
-    def note_holding(self, reported_before: int) -> None:
+    def note_holding(self, recorded_before: int) -> None:
         """
         Record that this host reports usage now.
 
-        :param reported_before: the windows before this one are recorded.
+        :param recorded_before: no counts of windows before this one are needed.
         """
 
+    @abstractmethod
+    def kept_from(self) -> int:
+        """Return the first window whose counts are kept."""
+
     @abstractmethod
     def counts(self, window: int) -> dict[str, int]:
         """Return the calls of each team in a window, as far as known."""
--- a/src/burdockledge/usage/_reporter.py
+++ b/src/burdockledge/usage/_reporter.py
@@ -87,7 +87,7 @@
             'a former holder may have decided them',
         )
         self._reports.forget_old(now, self._count_missed)
-        self._source.note_holding(self._reports.next_window)
+        self._source.note_holding(self._reports.recorded_before)
         await self._decide_due(lease)
         await self._send_due(lease)
         if lease.is_valid():
@@ -135,7 +135,9 @@
         )
         # The window during which it began ends later.
         since = min(self._held_since, known_since)
-        return math.floor(since / self._window_seconds)
+        return max(
+            math.floor(since / self._window_seconds), self._source.kept_from()
+        )
 
     async def _decide_due(self, lease: Lease) -> None:
         while lease.is_valid():
@@ -179,7 +181,7 @@
             return False
         self._unrecorded.pop(window, None)
         self._reports.add_recorded(window, content)
-        self._source.note_holding(self._reports.next_window)
+        self._source.note_holding(self._reports.recorded_before)
         return True
 
     async def _send_due(self, lease: Lease) -> None:
--- a/src/burdockledge/usage/_reports.py
+++ b/src/burdockledge/usage/_reports.py
@@ -44,7 +44,8 @@
     Holds the windows that were decided lately, by this or another host.
 
     ``next_window`` is the first one that is not decided, as windows are
-    decided in order.
+    decided in order, and ``recorded_before`` the one after the last decided
+    one. Windows between them are left out here, but not by each other host.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._reports: dict[int, SentReport] = {}
         self._adopted: dict[str, bytes] = {}
         self.next_window = 0
+        self.recorded_before = 0
 
     def key_of(self, window: int) -> str:
         """Return the key of the record of a window."""
@@ -87,7 +89,7 @@
         """Add a window whose record this host has written."""
         self._adopted[self.key_of(window)] = content
         self._reports[window] = SentReport(window, content)
-        self.next_window = max(self.next_window, window + 1)
+        self._note_decided(window)
 
     def skip_to(self, window: int, on_missed: MissedListener, why: str) -> None:
         """Decide no window before this one."""
@@ -125,7 +127,7 @@
             self._adopt_window(window, content, now)
 
     def _adopt_window(self, window: int, content: bytes, now: float) -> None:
-        self.next_window = max(self.next_window, window + 1)
+        self._note_decided(window)
         age_seconds = now - self._end_of(window)
         known = self._reports.get(window)
         if known is not None:
@@ -138,6 +140,10 @@
                 is_sent_last=age_seconds > _RESEND_FIRST_SECONDS,
             )
 
+    def _note_decided(self, window: int) -> None:
+        self.recorded_before = max(self.recorded_before, window + 1)
+        self.next_window = max(self.next_window, self.recorded_before)
+
     def _end_of(self, window: int) -> float:
         return (window + 1) * self._window_seconds
 
