Ask often again after a time without questions

A host that had not asked for a while took a host that it had asked before for a silent one, and asked it once per second only.

Checked by: pytest tests/usage (111 passed; the new test fails without the change).

--- a/src/burdockledge/usage/_collector.py
+++ b/src/burdockledge/usage/_collector.py
@@ -146,7 +146,11 @@
         )
         due = [host for host in hosts if self._is_due(host, ended_before, now)]
         for host in due:
-            ask = self._asks.setdefault(host, _Ask(now, now))
+            ask = self._asks.get(host)
+            if ask is None or now - ask.last_at > _SILENT_SECONDS:
+                # This host has not asked for a while, or was frozen.
+                ask = _Ask(now, now)
+                self._asks[host] = ask
             ask.last_at = now
         return due
 
--- a/tests/usage/test_counts.py
+++ b/tests/usage/test_counts.py
@@ -104,3 +104,15 @@
         if collector.due_hosts(['h'], tick * 0.05, EPOCH + tick * 0.05)
     ]
     assert 35 < len(asks) < 50
+
+
+def test_a_host_that_asks_again_asks_often() -> None:
+    """Guards against counts missed by a holder that begins once more."""
+    collector = UsageCollector(WINDOW_SECONDS)
+    collector.due_hosts(['h'], 0, EPOCH)
+    asks = [
+        tick
+        for tick in range(200, 250)
+        if collector.due_hosts(['h'], tick * 0.05, EPOCH + tick * 0.05)
+    ]
+    assert len(asks) > 12
