Order no servers for the prompts of the first seconds

The estimate counted prompts that were prefilled into empty caches; the servers ordered for them booted when that work was gone. Demand now begins 8 s after the first call; running calls count from the first one on, and the fleet shrinks only after 20 s of known needs.

Checked by: pytest tests/autoscaling, all passed.

--- a/src/burdockledge/autoscaling/_demand.py
+++ b/src/burdockledge/autoscaling/_demand.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from burdockledge.scheduling import ServiceTiming
 
+# After the first call prefix caches are empty, so each shared prompt part is
+# prefilled once. Servers that boot meanwhile have empty caches, too, and that
+# work is gone before they help: it counts towards no size.
+_WARM_UP_SECONDS: Final = 8.0
 # Longer than a burst (2 to 9 s), which the mean must not follow.
 _MEAN_SECONDS: Final = 20.0
 # Just after the first call, the mean is over this time.
@@ -88,9 +92,15 @@
     if history.first_call_at is None:
         return Demand()
     traffic_seconds = max(0.0, now - history.first_call_at)
-    works = history.by_period(now, HISTORY_SECONDS)
-    mean_works = works[-_periods(_mean_seconds(traffic_seconds)) :]
-    width = _periods(_PEAK_SECONDS)
+    warm_seconds = traffic_seconds - _WARM_UP_SECONDS
+    if warm_seconds < _PEAK_SECONDS:
+        return Demand(
+            running=running_calls / rates.slots,
+            traffic_seconds=traffic_seconds,
+        )
+    works = history.by_period(now, min(HISTORY_SECONDS, warm_seconds))
+    mean_works = works[-_periods(_mean_seconds(warm_seconds)) :]
+    width = min(len(works), _periods(_PEAK_SECONDS))
     return Demand(
         mean=rates.servers(mean_works),
         urgent=rates.urgent_servers(mean_works),
--- a/src/burdockledge/autoscaling/_sizing.py
+++ b/src/burdockledge/autoscaling/_sizing.py
@@ -32,8 +32,9 @@
 _MIN_SHRINK_SERVERS: Final = 2
 # Limits what wrongly learnt rates can cost.
 _MAX_GROWTH: Final = 2
-# Rates and means are unsettled just after the first call.
-_SETTLING_SECONDS: Final = 12.0
+# The first 8 s of traffic say nothing of the servers that are needed later, and
+# what was not needed must be known for 20 s.
+_SETTLING_SECONDS: Final = 28.0
 # The cost of a data centre counts moderately: bytes between data centres are
 # billed, too.
 _PRICE_EXPONENT: Final = -0.5
