--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -8,10 +8,12 @@
 
 import aiohttp
 
+from burdockledge.duties import DutyHolder
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
 from burdockledge.relay import SERVERS_STREAM, RetryBudgetSettings
 from burdockledge.wire import MemberStatus, MemberUpdate, StreamUpdate
+from tests.duties.site import make_duty_settings
 from tests.platform_adapter.front_harness import make_settings
 
 PEER_KEYS = PeerKeys(('a key of sixteen characters',), None)
@@ -113,3 +115,31 @@
             await host.server_client.close()
 
     asyncio.run(run())
+
+
+def test_a_host_gives_its_duties_up_as_it_drains() -> None:
+    """Guards against a site without a holder for a lease at each restart."""
+
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            settings = replace(make_settings(), grace_seconds=0.6)
+            without = RelayHost(settings, PEER_KEYS, session)
+            assert without.duty_holder is None
+            await without.drain()
+            host = RelayHost(
+                replace(settings, duties=make_duty_settings()),
+                PEER_KEYS,
+                session,
+            )
+            holder = host.duty_holder
+            assert holder is not None
+            assert host.kernel.find(DutyHolder) is holder
+            assert holder.list_hosts() == [settings.host]
+            told: list[bool] = []
+            vars(holder)['release_soon'] = partial(told.append, True)
+            await host.drain()
+            assert told == [True]
+            for one in (host, without):
+                await one.server_client.close()
+
+    asyncio.run(run())
