Renew a lease only by appends under a claim that the store still shows

Two faults of the holder. A holder that froze, was followed by another one and thawed just as the store came back from a copy that ended where it had stopped could append there; the read after that append found the record and renewed the lease of the old claim, so it called with a lower token than the successor. And a task that had read a newer claim let another task of the same process append behind it. An append is now made, and counts as a renewal, only if the claim is still the newest in the era in which it was made.

The first was found by a new case of the fault table, the second by review; both have a test.

--- a/src/burdockledge/duties/_claim_writer.py
+++ b/src/burdockledge/duties/_claim_writer.py
@@ -73,7 +73,9 @@
                 HOLDER_KEY, self._state.encode_claim(), snapshot.end
             )
             if isinstance(appended, Err):
-                _log.info('Claim is not confirmed.', why=appended.err_value)
+                _log.info(
+                    'Claim is not confirmed.', why=appended.err_value.value
+                )
                 return False
             if not self._state.note_claimed(appended.ok_value, sent_at):
                 return False
@@ -99,9 +101,14 @@
         """Append a record under a claim; return whether it is in the store."""
         async with self._lock:
             for _ in range(_APPEND_ATTEMPTS):
-                if self.is_in_doubt and not await self._confirm_claim():
+                if self.is_in_doubt and not await self._read():
                     return False
-                if self._state.claim != number:
+                # Another task may have read a newer claim, after whose end
+                # this append would succeed.
+                if (
+                    self._state.claim != number
+                    or self._state.check_claim() != ClaimCheck.holds
+                ):
                     return False
                 if await self._append_once(key, content):
                     return True
@@ -122,16 +129,7 @@
             return True
         if not await self._read():
             return False
-        is_found = self._state.note_found(key, content, snapshot.end, sent_at)
-        self.is_in_doubt = self._state.check_claim() != ClaimCheck.holds
-        return is_found
-
-    async def _confirm_claim(self) -> bool:
-        """Read the topic; return whether it still shows the claim."""
-        if not await self._read():
-            return False
-        self.is_in_doubt = self._state.check_claim() != ClaimCheck.holds
-        return not self.is_in_doubt
+        return self._state.note_found(key, content, snapshot.end, sent_at)
 
     async def _read(self) -> bool:
         sent_at = self._clock.monotonic()
--- a/src/burdockledge/duties/_lease_state.py
+++ b/src/burdockledge/duties/_lease_state.py
@@ -243,9 +243,14 @@
         """
         Look for an append without an answer in what was read since.
 
+        It renews the lease only of a claim that the store still shows: after
+        a restore, a former holder may append at an end that it has known.
+
         :return: whether it was carried out.
         """
-        if self.snapshot is None:
+        if self.snapshot is None or self.claim is None:
+            return False
+        if self.snapshot.era != self.claim.era:
             return False
         found = self.snapshot.records.get(key)
         is_found = (
@@ -253,7 +258,7 @@
             and found.content == content
             and found.offset >= expected_end
         )
-        if is_found:
+        if is_found and self.check_claim() == ClaimCheck.holds:
             self._renewed_at = max(self._renewed_at, sent_at)
         return is_found
 
--- a/tests/duties/stand_ins.py
+++ b/tests/duties/stand_ins.py
@@ -258,6 +258,8 @@
                 outcome = await answer
         except TimeoutError:
             return CallOutcome.unknown
+        if outcome == CallOutcome.unavailable and await lease.is_superseded():
+            outcome = CallOutcome.fenced
         if outcome == CallOutcome.fenced:
             self._fenced.add(number)
         return outcome
--- a/tests/duties/test_faults_in_a_row.py
+++ b/tests/duties/test_faults_in_a_row.py
@@ -29,7 +29,7 @@
         fault = self._random.choice((
             self._freeze, self._restart, self._stop, self._cut_from_store,
             self._cut_from_api, self._lose_append, self._delay_calls,
-            self._restore, self._slow, self._fence, self.mend, self.mend,
+            self._restore, self._slow, self._refuse_calls, self.mend, self.mend,
         ))  # fmt: skip
         result = fault(host)
         if result is not None:
@@ -46,6 +46,7 @@
         self._site.api.cut.clear()
         self._site.api.late.clear()
         self._site.api.answer_seconds = 0.005
+        self._site.api.answers.clear()
 
     def _freeze(self, host: str) -> None:
         if host not in self._frozen:
@@ -85,8 +86,10 @@
         self._site.topic.way_seconds = self._random.uniform(0.01, 0.8)
         self._site.api.answer_seconds = self._random.uniform(0.01, 1.5)
 
-    def _fence(self, _: str) -> None:
-        self._site.api.answers.append(CallOutcome.fenced)
+    def _refuse_calls(self, _: str) -> None:
+        answers = self._site.api.answers
+        answers.append(CallOutcome.fenced)
+        answers.extend([CallOutcome.unavailable] * 5)
 
 
 @pytest.mark.parametrize('checks_numbers', [True, False])
--- a/tests/duties/test_holder_faults.py
+++ b/tests/duties/test_holder_faults.py
@@ -7,8 +7,17 @@
 
 import pytest
 
+from burdockledge.clock import VirtualClock
 from burdockledge.duties import CallOutcome
-from tests.duties.site import Site, run_site
+from burdockledge.duties._claim_writer import ClaimWriter
+from burdockledge.duties._lease_state import LeaseState, LeaseTimes
+from burdockledge.duties._records import (
+    HOLDER_KEY,
+    HolderRecord,
+    encode_record,
+)
+from tests.duties.site import Site, make_duty_settings, run_site
+from tests.duties.stand_ins import FakeStoreClient
 
 Fault = Callable[[Site, str], Awaitable[None]]
 HOSTS = ('h1', 'h2', 'h3', 'h4', 'h5')
@@ -112,6 +121,15 @@
     site.topic.restore(1)
 
 
+async def restore_former_claim(site: Site, holder: str) -> None:
+    """Restore the claim of a holder that was frozen, as it thaws."""
+    end = len(site.topic.records)
+    site.freeze(holder)
+    await asyncio.sleep(10)
+    site.topic.restore(end)
+    site.thaw(holder)
+
+
 async def delay_calls(site: Site, holder: str) -> None:
     """Carry calls of the holder out late, and kill it."""
     site.api.late[holder] = 1.95
@@ -155,6 +173,7 @@
         (restore, False),
         (restore_before_all, False),
         (restore_while_away, None),
+        (restore_former_claim, True),
         (delay_calls, True),
         (slow_api, False),
         (jump_clocks, False),
@@ -251,6 +270,51 @@
     run_site(scenario)
 
 
+def test_a_write_without_an_answer_is_not_done_again() -> None:
+    """Guards against a record that is in the store and counts as lost."""
+
+    async def scenario(site: Site) -> None:
+        await site.start('h1')
+        await asyncio.sleep(5)
+        for _ in range(10):
+            site.topic.late_appends['h1'] = 0.01
+            await asyncio.sleep(1.2)
+        written = {
+            content
+            for key, content in site.topic.records
+            if key.startswith('usage/')
+        }
+        reported = [call for call in site.api.calls if call.subject == 'usage']
+        assert len(reported) >= len(written) - 1
+
+    run_site(scenario)
+
+
+def test_nothing_is_written_behind_a_newer_claim() -> None:
+    """Guards against a lease that a task renews after another has read."""
+
+    async def scenario(site: Site) -> None:
+        state = LeaseState(
+            'h1', 'i1', LeaseTimes.from_settings(make_duty_settings())
+        )
+        client = FakeStoreClient(site.topic, 'h1#1')
+        clock = VirtualClock(site.loop)
+        writer = ClaimWriter('h1', 'i1', client, state, clock)
+        assert await writer.read()
+        assert await writer.claim()
+        number = state.claim
+        assert number is not None
+        assert await writer.append(number, 'usage/0', b'{}')
+        claim = HolderRecord(host='h2', incarnation='i2', era=0)
+        site.topic.append(HOLDER_KEY, encode_record(claim), 2)
+        assert await writer.read()
+        assert not await writer.append(number, 'usage/0', b'{}')
+        assert not await writer.renew()
+        assert len(site.topic.records) == 3
+
+    run_site(scenario)
+
+
 def test_two_machines_with_one_name_do_not_share_a_number() -> None:
     """Guards against a holder that is told by its name."""
 
--- a/tests/duties/test_lease_state.py
+++ b/tests/duties/test_lease_state.py
@@ -216,3 +216,14 @@
     assert not state.note_found('usage/1', b'counts', 12, 12)
     assert state.note_found('usage/1', b'counts', 11, 12)
     assert state.is_valid(FenceNumber(0, 10), 14.9)
+
+
+def test_a_write_of_a_former_holder_after_a_restore_renews_nothing() -> None:
+    """Guards against a lease of a claim that the store no longer shows."""
+    state = make_holder()
+    snapshot = state.snapshot
+    assert snapshot is not None
+    records = {**snapshot.records, 'usage/1': StoreRecord(11, b'counts')}
+    state.note_read(StoreSnapshot(1, 12, records), 15, 15)
+    assert not state.note_found('usage/1', b'counts', 11, 14.9)
+    assert not state.has_lease(15)
