Weigh cached prefixes against waits, memory and doubt

The wait for a full batch or full KV memory did not count, nor the chance that a part believed to be cached is gone. A first event that came too late for a cached prompt taught a wrong prefill rate. Hosts that placed calls with a new prefix at the same time chose different readers.

Under the same option as the prediction of pauses, the cost of a server now has terms for free slots, KV memory, a late first event and doubt. Late first events refute beliefs. Hosts agree on the first reader of a prefix by a hash. make bench-placement compares a choice with and without the terms.

Checked by: pytest tests/scheduling tests/test_host.py tests/relay/test_replicated_state.py tests/relay/test_server_limits.py, all passed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MINUTES ?= 5
 RUNS ?= 50
 
-.PHONY: install lint format test demo bench bench-routes bench-policy bench-gate bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
+.PHONY: install lint format test demo bench bench-placement bench-routes bench-policy bench-gate bench-capacity fuzz proofs processes soak soak-fresh cost binary binary-test clean
 
 install: $(VENV)/installed
 
@@ -32,6 +32,9 @@
 demo: install
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/demo.sh
 
+bench-placement: install
+	$(BIN)/python scripts/bench_placement.py
+
 bench: install
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/bench_relay.sh
 
--- a/src/burdockledge/scheduling/_health.py
+++ b/src/burdockledge/scheduling/_health.py
@@ -103,6 +103,16 @@
             server.successes + server.failures + _PRIOR_SUCCESSES
         )
 
+    def risk(self, instance_id: str, now: float) -> float | None:
+        """Return the failure rate of an instance, None while it is paused."""
+        server = self._servers.get(instance_id)
+        if server is None:
+            return 0.0
+        if now < server.pause_until:
+            return None
+        # Nearly always; the decay of what doesn't fail isn't needed.
+        return self.failure_rate(instance_id, now) if server.failures else 0.0
+
     def retain(self, instance_ids: Collection[str]) -> None:
         """Drop the results of all instances but these."""
         for instance_id in tuple(self._servers):
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -12,7 +12,7 @@
     from burdockledge.calls import Prompt
     from burdockledge.scheduling._call_start import CallStart
     from burdockledge.scheduling._prefix_cache import PrefixCacheEstimate
-    from burdockledge.scheduling._pressure import ServerPressure
+    from burdockledge.scheduling._pressure import LoadSample, ServerPressure
     from burdockledge.scheduling._timing import ServiceTiming
 
 # A call is dropped after this time, as the news of its end may be lost with
@@ -27,6 +27,11 @@
 # The prefill of a call is forecast from that of this time before it.
 _PREFILL_SHARE_SECONDS: Final = 2.0
 _MAX_PREFILL_SHARE: Final = 0.95
+# A cached prompt is refuted by a first event that took this share of the time
+# that its prefill takes, and longer than in slow moments of an engine, if that
+# time is long beside a first event without a prompt.
+_REFUTED_SHARE: Final = 0.8
+_MIN_REFUTED_FIRST_EVENTS: Final = 1.5
 # An exponential for each server and choice costs more than this error.
 _ROUGH_SECONDS: Final = 0.05
 _MIN_SECONDS: Final = 0.001
@@ -81,6 +86,7 @@
         self.stream_weights: dict[float, float] = {}
         self._stream_events: dict[float, float] = {}
         self._pause_ratio = 1.0
+        self._sampled_at = 0.0
         self._running: dict[int, _RunningCall] = {}
         self._pending: dict[int, _PendingPrefill] = {}
         self._prefill_since = 0.0
@@ -116,7 +122,12 @@
         self._recent_tokens += call.prefill_tokens
         self._recent_token_squares += call.prefill_tokens**2
         if self.pressure is not None:
-            self.pressure.start(call, now, self.prefill_tokens_per_second)
+            self.pressure.start(
+                call,
+                now,
+                self.prefill_tokens_per_second,
+                self.cache.use_of(call.prompt) if had_no_backlog else None,
+            )
         self.cache.add(call.prompt)
 
     def note_first_event(
@@ -135,8 +146,11 @@
             return
         self.cache.mark_prefilled(pending.prompt)
         self._prefill_since = now
-        if self.pressure is not None and not self._pending:
-            self.pressure.note_no_backlog(now)
+        if self.pressure is not None:
+            if not self._pending:
+                self.pressure.note_no_backlog(now)
+            if seconds and self._is_refuted(call_id, pending.tokens, seconds):
+                return
         if seconds and pending.had_no_backlog and pending.prompt.parts:
             self._learn_speed(pending.tokens, seconds)
 
@@ -167,6 +181,8 @@
         """Remove a call."""
         running = self._running.pop(call_id, None)
         self._pending.pop(call_id, None)
+        if self.pressure is not None:
+            self.pressure.end(call_id)
         if running is not None and running.pause_target_seconds is not None:
             self._add_stream(running.pause_target_seconds, -running.weight)
 
@@ -193,16 +209,32 @@
             / _PREFILL_SHARE_SECONDS,
         )
 
-    def rough_prefill_share(self, now: float) -> float:
-        """Return the prefill share, of at most some milliseconds ago."""
-        if now - self._recent_at > _ROUGH_SECONDS:
+    def measure(self, sample: LoadSample, urgency: int, now: float) -> None:
+        """Write what a choice for a call of an urgency needs of this load."""
+        # Done for each server and choice, so in one call and without a new
+        # object what ``running_calls``, ``backlog_seconds``,
+        # ``prefill_share`` and ``recent_prompt_tokens`` do.
+        rate = self.timing.prefill_tokens_per_second * self.speed_ratio
+        sample.tokens_per_second = rate
+        sample.pause_ratio = self._pause_ratio
+        if now - self._sampled_at > _ROUGH_SECONDS:
+            self._sampled_at = now
             self._decay_recent(now)
-        return min(
-            _MAX_PREFILL_SHARE,
-            self._recent_tokens
-            / self.prefill_tokens_per_second
-            / _PREFILL_SHARE_SECONDS,
+            self.running_calls(now)
+        sample.running_calls = len(self._running)
+        recent = self._recent_tokens
+        share = recent / (rate * _PREFILL_SHARE_SECONDS)
+        sample.prefill_share = (
+            share if share < _MAX_PREFILL_SHARE else _MAX_PREFILL_SHARE
+        )
+        sample.prompt_tokens = (
+            self._recent_token_squares / recent if recent else 0.0
         )
+        if self._pending:
+            self._sample_backlog(sample, urgency, now)
+        else:
+            sample.ahead_seconds = 0.0
+            sample.pending_seconds = 0.0
 
     def recent_prompt_tokens(self) -> float:
         """Return the mean size of the prompt that a prefilled token is of."""
@@ -246,6 +278,53 @@
             max(0.0, ahead_tokens - prefilled) / self.prefill_tokens_per_second
         )
 
+    def _sample_backlog(
+        self, sample: LoadSample, urgency: int, now: float
+    ) -> None:
+        ahead = 0.0
+        pending = 0.0
+        largest = 0
+        for call in self._pending.values():
+            tokens = call.tokens
+            pending += tokens
+            if tokens > largest:
+                largest = tokens
+            if call.urgency <= urgency:
+                ahead += tokens
+        # As in ``backlog_seconds``.
+        rate = sample.tokens_per_second
+        prefilled = min((now - self._prefill_since) * rate, largest)
+        ahead -= prefilled
+        pending -= prefilled
+        sample.ahead_seconds = ahead / rate if ahead > 0 else 0.0
+        sample.pending_seconds = pending / rate if pending > 0 else 0.0
+
+    def _is_refuted(self, call_id: int, tokens: int, seconds: float) -> bool:
+        """
+        Return whether a first event came too late for what seemed cached.
+
+        The parts are cached now, but those that were used before them are
+        not, as the least recently used ones are evicted first.
+        """
+        if self.pressure is None:
+            return False
+        use = self.pressure.take_use(call_id)
+        if use is None:
+            return False
+        rate = self.prefill_tokens_per_second
+        usual = self.timing.first_event_seconds
+        if use.tokens / rate < _MIN_REFUTED_FIRST_EVENTS * usual:
+            return False
+        cached = usual + tokens / rate
+        if seconds > max(
+            cached + _REFUTED_SHARE * use.tokens / rate,
+            cached * self.timing.slow_ratio,
+        ):
+            self.cache.refute(use)
+            return True
+        self.cache.confirm(use)
+        return False
+
     def _learn_speed(self, tokens: int, seconds: float) -> None:
         timing = self.timing
         prefill_seconds = max(0.0, seconds - timing.first_event_seconds)
--- a/src/burdockledge/scheduling/_load_tracker.py
+++ b/src/burdockledge/scheduling/_load_tracker.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+import xxhash
+
 from burdockledge.hashing import rank
 from burdockledge.scheduling._load import (
     DEFAULT_CALL_EXPIRY_SECONDS,
@@ -139,7 +141,11 @@
         if pressure is None:
             pressure = ServicePressure()
             self._pressures[service] = pressure
-        return ServerPressure(pressure, self._positions.get(instance_id, 0.5))
+        return ServerPressure(
+            pressure,
+            self._positions.get(instance_id, 0.5),
+            xxhash.xxh32_intdigest(instance_id.encode()),
+        )
 
     def _set_positions(self, instances: list[ServerInstance]) -> None:
         """
--- a/src/burdockledge/scheduling/_pressure.py
+++ b/src/burdockledge/scheduling/_pressure.py
@@ -9,12 +9,15 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from burdockledge.scheduling._estimates import QuantileEstimate
 
 if TYPE_CHECKING:
+    from burdockledge.calls import Prompt
     from burdockledge.scheduling._call_start import CallStart
+    from burdockledge.scheduling._prefix_cache import CacheUse
 
 # Neutral prior: what a pause of 0.1 s prefills at the prior rate.
 _PRIOR_PAUSE_TOKENS: Final = 8000.0
@@ -27,6 +30,16 @@
 _MAX_KEPT_STARTS: Final = 32
 
 
+def prompt_tokens(prompt: Prompt) -> int:
+    """Return the size of a prompt, by its parts if they are larger."""
+    return max(prompt.input_tokens, sum(part.tokens for part in prompt.parts))
+
+
+def memory_tokens(prompt: Prompt, max_output_tokens: int) -> int:
+    """Return the KV memory that a call needs at its end."""
+    return prompt_tokens(prompt) + max_output_tokens
+
+
 class _Backlog(NamedTuple):
     """Pending tokens right after a change; ``added_tokens`` only grows."""
 
@@ -35,6 +48,30 @@
     added_tokens: float
 
 
+@dataclass(slots=True)
+class LoadSample:
+    """
+    The load of a server at one time, for a call of one urgency.
+
+    ``ahead_seconds`` is the prefill of pending calls that are at least as
+    urgent, ``pending_seconds`` that of all. ``prefill_share`` may be some
+    milliseconds old. ``prompt_tokens`` is as ``recent_prompt_tokens``,
+    ``pause_ratio`` the pauses of this server in relation to its service.
+    ``risk`` is the share of recent calls that failed, ``cached_tokens`` what of
+    the prompt is cached or in prefill.
+    """
+
+    tokens_per_second: float = 1.0
+    running_calls: int = 0
+    ahead_seconds: float = 0.0
+    pending_seconds: float = 0.0
+    prefill_share: float = 0.0
+    prompt_tokens: float = 0.0
+    pause_ratio: float = 1.0
+    risk: float = 0.0
+    cached_tokens: int = 0
+
+
 class ServicePressure:
     """
     What is learnt of all servers of a service.
@@ -80,24 +117,62 @@
     The pending prefill of one server over the last starts of calls.
 
     ``position`` is the place of the server among those of its service in its
-    data centre, from 0 to 1. All hosts agree on it.
+    data centre, from 0 to 1, ``salt`` a number of its own. All hosts agree on
+    both. ``running_tokens`` is the KV memory that its calls need until they
+    end. ``sample`` is the load at the latest choice of a server.
     """
 
-    def __init__(self, service: ServicePressure, position: float = 0.5) -> None:
+    def __init__(
+        self, service: ServicePressure, position: float = 0.5, salt: int = 0
+    ) -> None:
         """Create the state of an idle server."""
         self.service = service
         self.position = position
+        self.salt = salt
+        self.running_tokens = 0
+        self.sample = LoadSample()
+        self._tokens_by_call: dict[int, int] = {}
+        self._uses: dict[int, CacheUse] = {}
         self._backlogs: deque[_Backlog] = deque(maxlen=_MAX_KEPT_STARTS)
 
     def start(
-        self, call: CallStart, now: float, tokens_per_second: float
+        self,
+        call: CallStart,
+        now: float,
+        tokens_per_second: float,
+        use: CacheUse | None,
     ) -> None:
-        """Add the prefill of a call."""
+        """
+        Add the prefill of a call.
+
+        :param use: what the call finds in the cache, if its first event
+            will tell whether that is so.
+        """
         tokens = call.prefill_tokens
+        self.end(call.call_id)
+        needed = memory_tokens(call.prompt, call.max_output_tokens)
+        self._tokens_by_call[call.call_id] = needed
+        self.running_tokens += needed
+        # Parts that are fetched from another server arrive later than cached
+        # ones, and say nothing of the cache.
+        if use is not None and (
+            use.tokens
+            and use.tokens + tokens >= needed - call.max_output_tokens
+        ):
+            self._uses[call.call_id] = use
         added = self._backlogs[-1].added_tokens if self._backlogs else 0.0
         pending = self.pending_tokens(now, tokens_per_second)
         self._backlogs.append(_Backlog(now, pending + tokens, added + tokens))
 
+    def end(self, call_id: int) -> None:
+        """Free the memory of a call."""
+        self.running_tokens -= self._tokens_by_call.pop(call_id, 0)
+        self._uses.pop(call_id, None)
+
+    def take_use(self, call_id: int) -> CacheUse | None:
+        """Return what a call seemed to find in the cache, once."""
+        return self._uses.pop(call_id, None)
+
     def note_no_backlog(self, now: float) -> None:
         """Record that the prompts of all calls are prefilled."""
         if self._backlogs:
@@ -147,4 +222,10 @@
         return 0.0, oldest.added_tokens - oldest.tokens
 
 
-__all__ = ('ServerPressure', 'ServicePressure')
+__all__ = (
+    'LoadSample',
+    'ServerPressure',
+    'ServicePressure',
+    'memory_tokens',
+    'prompt_tokens',
+)
--- a/src/burdockledge/scheduling/_timing.py
+++ b/src/burdockledge/scheduling/_timing.py
@@ -78,6 +78,16 @@
         """The time to a first event that doesn't depend on the prompt."""
         return self._first_event.intercept
 
+    @property
+    def slow_ratio(self) -> float:
+        """How many times as long as usual the pauses of slow moments are."""
+        return self._slow_ratio.estimate
+
+    @property
+    def tail_exponent(self) -> float:
+        """The power of a pause over its target in ``miss_rate``."""
+        return self._tail_exponent
+
     @property
     def pause_seconds_per_call(self) -> float:
         """What one more running call adds to the pauses of the others."""
--- a/tests/scheduling/test_pauses_under_prefill.py
+++ b/tests/scheduling/test_pauses_under_prefill.py
@@ -5,7 +5,7 @@
 import pytest
 
 from burdockledge.calls import Prompt
-from burdockledge.scheduling import CallStart
+from burdockledge.scheduling import CallStart, PlacementRequest
 from tests.scheduling.pressure_fleet import (
     PAUSE_TOKENS,
     PressureFleet,
@@ -75,6 +75,19 @@
     assert fleet.place(chat(9)) == 2
 
 
+@pytest.mark.parametrize('busy', [0, 1])
+@pytest.mark.parametrize('request_', [chat(9), draft(9, 10)])
+def test_pending_prompts_count_beyond_the_recent_ones(
+    busy: int, request_: PlacementRequest
+) -> None:
+    """Equal servers but for one whose prompt is still in prefill."""
+    fleet = PressureFleet(server_count=2)
+    for number in (0, 1):
+        is_done = number != busy
+        fleet.start(number, draft(number, 20), 17_000, has_first_event=is_done)
+    assert fleet.place(request_) != busy
+
+
 def test_a_chat_is_placed_while_all_servers_prefill() -> None:
     """All servers prefill long prompts: the chat goes to the shortest queue."""
     fleet = PressureFleet(server_count=4)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -7,10 +7,12 @@
 from functools import partial
 
 import aiohttp
+import pytest
 
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
 from burdockledge.relay import SERVERS_STREAM, RetryBudgetSettings
+from burdockledge.scheduling import PressurePolicy
 from burdockledge.wire import MemberStatus, MemberUpdate, StreamUpdate
 from tests.platform_adapter.front_harness import make_settings
 
@@ -45,6 +47,21 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize('sheds_load', [False, True])
+def test_servers_are_chosen_as_the_settings_say(sheds_load: bool) -> None:
+    """Guards against another choice of servers where none is asked for."""
+
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            settings = replace(make_settings(), sheds_load=sheds_load)
+            host = RelayHost(settings, PEER_KEYS, session)
+            policy = vars(host.routing_state)['_policy']
+            assert isinstance(policy, PressurePolicy) is sheds_load
+            await host.server_client.close()
+
+    asyncio.run(run())
+
+
 def test_the_listeners_close_before_what_their_calls_use() -> None:
     """Guards against LOST: calls that arrive while other services stop."""
 
