Count a repeated start once, and describe the choice under load

The news of a start that came twice left the weight of its stream behind; a test with random states found it, and it is counted once where pressure is weighed. A reload keeps sheds_load, as the policy is made at the start.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -86,6 +86,7 @@
     'peer_address',
     'exchange_port',
     'store_address',
+    'sheds_load',
 )
 
 
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -101,6 +101,9 @@
 
     def start(self, call: CallStart, now: float) -> None:
         """Add a call that was sent to this instance."""
+        if self.pressure is not None:
+            # The news of a start may come twice, and counts once.
+            self.end(call.call_id)
         had_no_backlog = not self._pending
         if had_no_backlog:
             self._prefill_since = now
@@ -230,11 +233,23 @@
         sample.prompt_tokens = (
             self._recent_token_squares / recent if recent else 0.0
         )
+        ahead = 0.0
+        pending = 0.0
         if self._pending:
-            self._sample_backlog(sample, urgency, now)
-        else:
-            sample.ahead_seconds = 0.0
-            sample.pending_seconds = 0.0
+            largest = 0
+            for call in self._pending.values():
+                tokens = call.tokens
+                pending += tokens
+                if tokens > largest:
+                    largest = tokens
+                if call.urgency <= urgency:
+                    ahead += tokens
+            # As in ``backlog_seconds``.
+            prefilled = min((now - self._prefill_since) * rate, largest)
+            ahead -= prefilled
+            pending -= prefilled
+        sample.ahead_seconds = ahead / rate if ahead > 0 else 0.0
+        sample.pending_seconds = pending / rate if pending > 0 else 0.0
 
     def recent_prompt_tokens(self) -> float:
         """Return the mean size of the prompt that a prefilled token is of."""
@@ -278,27 +293,6 @@
             max(0.0, ahead_tokens - prefilled) / self.prefill_tokens_per_second
         )
 
-    def _sample_backlog(
-        self, sample: LoadSample, urgency: int, now: float
-    ) -> None:
-        ahead = 0.0
-        pending = 0.0
-        largest = 0
-        for call in self._pending.values():
-            tokens = call.tokens
-            pending += tokens
-            if tokens > largest:
-                largest = tokens
-            if call.urgency <= urgency:
-                ahead += tokens
-        # As in ``backlog_seconds``.
-        rate = sample.tokens_per_second
-        prefilled = min((now - self._prefill_since) * rate, largest)
-        ahead -= prefilled
-        pending -= prefilled
-        sample.ahead_seconds = ahead / rate if ahead > 0 else 0.0
-        sample.pending_seconds = pending / rate if pending > 0 else 0.0
-
     def _is_refuted(self, call_id: int, tokens: int, seconds: float) -> bool:
         """
         Return whether a first event came too late for what seemed cached.
--- a/src/burdockledge/scheduling/_prefix_cache.py
+++ b/src/burdockledge/scheduling/_prefix_cache.py
@@ -47,12 +47,14 @@
 
     A part counts as cached as soon as a call with it is sent to the engine,
     so that calls with the same part follow to where it is being prefilled.
+    ``tokens_by_part`` holds the parts that are cached or in prefill, the least
+    recently used one first, ``capacity_tokens`` is the size of the KV cache.
     """
 
     def __init__(self, capacity_tokens: int) -> None:
         """Create an estimate of an empty cache."""
-        self._capacity_tokens = capacity_tokens
-        self._tokens_by_part: OrderedDict[int, int] = OrderedDict()
+        self.capacity_tokens = capacity_tokens
+        self.tokens_by_part: OrderedDict[int, int] = OrderedDict()
         self._prefilled: set[int] = set()
         self._total_tokens = 0
         # The tokens that had been added when a part was used last.
@@ -60,19 +62,9 @@
         self._added_tokens = 0
         self._capacity_share = 1.0
 
-    @property
-    def capacity_tokens(self) -> int:
-        """The size of the engine's KV cache."""
-        return self._capacity_tokens
-
-    @property
-    def parts(self) -> Container[int]:
-        """The parts that are cached or in prefill."""
-        return self._tokens_by_part
-
     def cached_tokens(self, prompt: Prompt) -> int:
         """Return the tokens of the leading parts cached or in prefill."""
-        return _leading_tokens(prompt, self._tokens_by_part)
+        return _leading_tokens(prompt, self.tokens_by_part)
 
     def prefilled_tokens(self, prompt: Prompt) -> int:
         """Return the tokens of the leading parts whose prefill is done."""
@@ -81,12 +73,12 @@
     def mark_prefilled(self, prompt: Prompt) -> None:
         """Record that the prefill of a prompt is done."""
         for part_id, _ in prompt.parts:
-            if part_id in self._tokens_by_part:
+            if part_id in self.tokens_by_part:
                 self._prefilled.add(part_id)
 
     def add(self, prompt: Prompt) -> None:
         """Record that a prompt was sent to the engine."""
-        held = self._tokens_by_part
+        held = self.tokens_by_part
         for part_id, tokens in prompt.parts:
             added = tokens - held.pop(part_id, 0)
             self._total_tokens += added
@@ -98,14 +90,14 @@
 
     def resize(self, capacity_tokens: int) -> None:
         """Change the capacity, and evict what no longer fits."""
-        self._capacity_tokens = capacity_tokens
+        self.capacity_tokens = capacity_tokens
         self._evict()
 
     def use_of(self, prompt: Prompt) -> CacheUse | None:
         """Return what a prompt would find in the cache, None if nothing."""
         if (
             not prompt.parts
-            or prompt.parts[0].part_id not in self._tokens_by_part
+            or prompt.parts[0].part_id not in self.tokens_by_part
         ):
             return None
         tokens = 0
@@ -123,21 +115,21 @@
         if use is None:
             return 1.0
         share = use.newer_tokens / max(
-            1.0, self._capacity_share * self._capacity_tokens
+            1.0, self._capacity_share * self.capacity_tokens
         )
         doubt = (share - _SURE_SHARE) / (1 - _SURE_SHARE)
         return 1 - (1 - _LEAST_CHANCE) * min(1.0, max(0.0, doubt))
 
     def refute(self, use: CacheUse) -> None:
         """Drop the parts that were used before parts that were not held."""
-        shown = use.newer_tokens / max(1, self._capacity_tokens)
+        shown = use.newer_tokens / max(1, self.capacity_tokens)
         if shown < self._capacity_share:
             self._capacity_share = max(
                 _MIN_CAPACITY_SHARE,
                 self._capacity_share
                 + _REFUTED_STEP * (shown - self._capacity_share),
             )
-        for part_id in tuple(self._tokens_by_part):
+        for part_id in tuple(self.tokens_by_part):
             if self._used_at[part_id] > use.used_at:
                 break
             self._drop(part_id)
@@ -149,15 +141,15 @@
             self._capacity_share += _CONFIRMED_STEP * (1 - self._capacity_share)
 
     def _evict(self) -> None:
-        capacity = self._capacity_tokens * self._capacity_share
-        while self._tokens_by_part and (
+        capacity = self.capacity_tokens * self._capacity_share
+        while self.tokens_by_part and (
             self._total_tokens > capacity
-            or len(self._tokens_by_part) > _MAX_PARTS
+            or len(self.tokens_by_part) > _MAX_PARTS
         ):
-            self._drop(next(iter(self._tokens_by_part)))
+            self._drop(next(iter(self.tokens_by_part)))
 
     def _drop(self, part_id: int) -> None:
-        self._total_tokens -= self._tokens_by_part.pop(part_id)
+        self._total_tokens -= self.tokens_by_part.pop(part_id)
         self._prefilled.discard(part_id)
         self._used_at.pop(part_id)
 
--- a/src/burdockledge/scheduling/_pressure_costs.py
+++ b/src/burdockledge/scheduling/_pressure_costs.py
@@ -120,6 +120,7 @@
             events,
             shares / len(candidates),
         )
+        self._harm_by_tokens = self._loss.harm_by_tokens
         self._sensitivity = _SEPARATION_SECONDS * self._loss.sensitivity
         self._holder: ServerInstance | None = None
         self._holder_tokens = 0
@@ -242,7 +243,7 @@
         if lateness > 1:
             lateness = 1.0
         position = pressure.position
-        harm = self._loss.harm_by_tokens.get(uncached)
+        harm = self._harm_by_tokens.get(uncached)
         if harm is None:
             harm = self._loss.harm_of(uncached)
         seconds += (
--- a/src/burdockledge/scheduling/_pressure_policy.py
+++ b/src/burdockledge/scheduling/_pressure_policy.py
@@ -103,7 +103,7 @@
             sample.risk = risk
             sample.cached_tokens = (
                 load.cache.cached_tokens(prompt)
-                if first_part in load.cache.parts
+                if first_part in load.cache.tokens_by_part
                 else 0
             )
             candidates.append((instance, load, pressure))
--- a/tests/scheduling/test_equal_choices.py
+++ b/tests/scheduling/test_equal_choices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 import pytest
@@ -26,11 +27,13 @@
 class RandomState:
     """A random number of servers under random calls."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, options: PlacementOptions | None = None
+    ) -> None:
         """Create idle servers of one service, some with small caches."""
         self.random = Random(seed)
         self.now = self.random.uniform(0, 1000)
-        self.loads = LoadTracker()
+        self.loads = LoadTracker(options)
         self.health = HealthTracker('own')
         self.instances = [
             ServerInstance(
@@ -127,3 +130,25 @@
     for _ in range(STEPS):
         choice = fast.choose(*one.next_arguments())
         assert choice == reference.choose(*other.next_arguments())
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_pressure_bears_any_state(seed: int) -> None:
+    """Guards against a state without a choice, and sums that drift apart."""
+    options = PlacementOptions(weighs_pressure=True)
+    state = RandomState(seed, options)
+    policy = make_policy(options, state.loads, state.health, Random(seed))
+    for _ in range(STEPS):
+        instances, request, now, limited_ids = state.next_arguments()
+        choice = policy.choose(instances, request, now, limited_ids)
+        if instances:
+            assert choice is not None and math.isfinite(choice.cost_seconds)
+    pressures = [
+        state.loads.load_of(instance.instance_id).pressure
+        for instance in state.instances
+    ]
+    state.loads.retain([])
+    for pressure in pressures:
+        assert pressure is not None
+        assert not pressure.running_tokens
+        assert not pressure.service.stream_weights
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -36,12 +36,14 @@
                 directory_seconds=1,
                 peer_address='127.9.9.9:7',
                 seeds=('127.0.0.2:7',),
+                sheds_load=True,
             )
             host.apply_settings(new_settings)
             assert applied_budgets == [RetryBudgetSettings(0.5, 50, 10)]
             assert host.settings.directory_seconds == 1
             assert host.settings.peer_address == old_settings.peer_address
             assert host.settings.seeds == new_settings.seeds
+            assert not host.settings.sheds_load
             await host.server_client.close()
 
     asyncio.run(run())
