--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -85,6 +85,7 @@
     'exchange_port',
     'store_address',
     'duties',
+    'sheds_load',
 )
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -7,11 +7,13 @@
 from functools import partial
 
 import aiohttp
+import pytest
 
 from burdockledge.duties import DutyHolder
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
 from burdockledge.relay import SERVERS_STREAM, RetryBudgetSettings
+from burdockledge.scheduling import PressurePolicy
 from burdockledge.wire import MemberStatus, MemberUpdate, StreamUpdate
 from tests.duties.site import make_duty_settings
 from tests.platform_adapter.front_harness import make_settings
@@ -36,12 +38,29 @@
                 directory_seconds=1,
                 peer_address='127.9.9.9:7',
                 seeds=('127.0.0.2:7',),
+                sheds_load=True,
             )
             host.apply_settings(new_settings)
             assert applied_budgets == [RetryBudgetSettings(0.5, 50, 10)]
             assert host.settings.directory_seconds == 1
             assert host.settings.peer_address == old_settings.peer_address
             assert host.settings.seeds == new_settings.seeds
+            assert not host.settings.sheds_load
+            await host.server_client.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('sheds_load', [False, True])
+def test_servers_are_chosen_as_the_settings_say(sheds_load: bool) -> None:
+    """Guards against another choice of servers where none is asked for."""
+
+    async def run() -> None:
+        async with aiohttp.ClientSession() as session:
+            settings = replace(make_settings(), sheds_load=sheds_load)
+            host = RelayHost(settings, PEER_KEYS, session)
+            policy = vars(host.routing_state)['_policy']
+            assert isinstance(policy, PressurePolicy) is sheds_load
             await host.server_client.close()
 
     asyncio.run(run())
