Test that a write before a newer claim renews no lease

A trial with six changed copies of the code found one that passed: a write that was found in the store renewed the lease though a newer claim followed it.

--- a/tests/duties/test_lease_state.py
+++ b/tests/duties/test_lease_state.py
@@ -227,3 +227,13 @@
     state.note_read(StoreSnapshot(1, 12, records), 15, 15)
     assert not state.note_found('usage/1', b'counts', 11, 14.9)
     assert not state.has_lease(15)
+
+
+def test_a_write_before_a_newer_claim_renews_nothing() -> None:
+    """Guards against a lease that overlaps with that of the next holder."""
+    state = make_holder()
+    newer = StoreRecord(12, encode_record(other()))
+    records = {HOLDER_KEY: newer, 'usage/1': StoreRecord(11, b'counts')}
+    state.note_read(StoreSnapshot(0, 13, records), 17, 17)
+    assert state.note_found('usage/1', b'counts', 11, 16.9)
+    assert not state.has_lease(17)
