Show what small hostile crowds take from a host

A host bounds what one connection may send, not what all of them hold. Each test runs a real host process with memory_mb = 80 and max_fds = 400 in its settings, opens one crowd on one listener, and checks the peak of the resident memory, the open descriptors and one ordinary call.

--- a/tests/flood/flooded_host.py
+++ b/tests/flood/flooded_host.py
@@ -33,8 +33,14 @@
 class FloodedHost:
     """A host process, a store and servers that each answer by a handler."""
 
-    def __init__(self, folder: Path, kind: str) -> None:
-        """Use loopback addresses that no other run is likely to use."""
+    def __init__(
+        self, folder: Path, kind: str, limits: dict[str, int] | None = None
+    ) -> None:
+        """
+        Use loopback addresses that no other run is likely to use.
+
+        :param limits: of the process, as in its settings file.
+        """
         # The kind of the route that is flooded.
         self.kind = kind
         prefix = f'127.{os.getpid() % 200 + 20}.{secrets.randbelow(250) + 1}'
@@ -46,6 +52,7 @@
         # Answers instead of the store, if it is set.
         self.store_handler: StoreHandler | None = None
         self.log_path = folder / 'h1.log'
+        self._limits = limits
         self._servers: list[StandInServer] = []
         self._runner = web.ServerRunner(
             web.Server(self._handle_store, access_log=None)
@@ -70,7 +77,9 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, self._other_ip, 0).start()
         store_port = self._runner.addresses[0][1]
-        self.host.write_settings(f'{self._other_ip}:{store_port}', [], 2)
+        self.host.write_settings(
+            f'{self._other_ip}:{store_port}', [], 2, self._limits
+        )
         await self.host.start()
         async with asyncio.timeout(READY_SECONDS):
             while not await self._is_ready():
@@ -91,6 +100,10 @@
         """Return the most memory that the process has held."""
         return self._status('VmHWM')
 
+    def open_descriptors(self) -> int:
+        """Return the number of descriptors that the process has open."""
+        return len(os.listdir(f'/proc/{self.host.pid}/fd'))
+
     def forget_peak(self) -> None:
         """Measure the peak from now on."""
         Path(f'/proc/{self.host.pid}/clear_refs').write_text('5')
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -60,12 +60,23 @@
         return f'{self.ip}:{PORTS["directory"]}'
 
     def write_settings(
-        self, store: str, seeds: list[str], ttl_seconds: float
+        self,
+        store: str,
+        seeds: list[str],
+        ttl_seconds: float,
+        limits: dict[str, int] | None = None,
     ) -> None:
-        """Write the settings file that the platform adapter reads."""
+        """
+        Write the settings file that the platform adapter reads.
+
+        :param limits: of the process, in the table of that name.
+        """
         listen = '\n'.join(
             f'{role} = "{self.ip}:{port}"' for role, port in PORTS.items()
         )
+        limit_lines = '\n'.join(
+            f'{name} = {limit}' for name, limit in (limits or {}).items()
+        )
         seed_list = ', '.join(f'"{ip}:{PORTS["control"]}"' for ip in seeds)
         self._settings.write_text(f"""
 node_name = "{self.name}"
@@ -85,6 +96,8 @@
 ttl_max_s = {ttl_seconds}
 [provider]
 address = "{store}"
+[limits]
+{limit_lines}
 """)
 
     async def start(self, mutation: str | None = None) -> None:
