Bound what all connections of a host hold together

Small crowds that stayed within the limits of each connection filled a host (98 to 129 MiB with 320 connections, 57 in calm), took its descriptors (434 to 777) or, with 24 bodies in one-byte chunks, kept all other callers from an answer.

Limits applied to single connections only, asyncio accepted up to 512 connections in a turn, and all chunks that had arrived were parsed at once.

The new package burdockledge.connections counts what is unfinished or unread on each connection of the front, directory, readiness and control listeners. Above a budget from memory_bytes, or a number from max_descriptors, it closes the connections that hold most for longest; a call in flight that holds nothing is never closed. An unfinished head gets 408, everything else is reset. Bodies with small chunks are parsed in pieces of 2 KiB, four of them per turn of the event loop for all connections together, and fail with 400 once their framing exceeds their size by 16 KiB. Large responses are written in parts, and the memory of large answers follows the budget too.

--- /dev/null
+++ b/src/burdockledge/connections/__init__.py
@@ -0,0 +1,25 @@
+"""Bounds what all connections of callers together may take from a host."""
+
+from burdockledge.connections._guard import ConnectionGuard, GuardedTransport
+from burdockledge.connections._holdings import (
+    CloseCause,
+    HeldBytes,
+    Holding,
+    choose_closed,
+)
+from burdockledge.connections._limits import ConnectionLimits, derive_limits
+from burdockledge.connections._listening import listen
+from burdockledge.connections._protocol import GuardedConnection
+
+__all__ = (
+    'CloseCause',
+    'ConnectionGuard',
+    'ConnectionLimits',
+    'GuardedConnection',
+    'GuardedTransport',
+    'HeldBytes',
+    'Holding',
+    'choose_closed',
+    'derive_limits',
+    'listen',
+)
--- /dev/null
+++ b/src/burdockledge/connections/_guard.py
@@ -0,0 +1,197 @@
+"""Applies the bounds over all connections of a process."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import Counter, deque
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from burdockledge.connections._holdings import (
+    CloseCause,
+    HeldBytes,
+    Holding,
+    choose_closed,
+)
+from burdockledge.connections._limits import SPARE_CONNECTIONS
+from burdockledge.telemetry import make_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockledge.connections._limits import ConnectionLimits
+    from burdockledge.telemetry import Metrics
+
+_log = make_logger('connections')
+
+# Postponed pieces that are parsed in one turn of the event loop, of all
+# connections together: 2 KiB of one-byte chunks take about 1 ms each.
+_PIECES_PER_TURN: Final = 4
+_KINDS: Final = ('heads', 'bodies', 'requests', 'responses')
+
+
+class GuardedTransport(ABC):
+    """A connection as the guard sees it."""
+
+    # The bytes that the guard has counted, and since when there are any.
+    counted_bytes = 0
+    holds_since = 0.0
+    # Whether it belongs to a listener for callers.
+    is_for_callers = True
+
+    @property
+    @abstractmethod
+    def is_idle(self) -> bool:
+        """Whether the connection waits for the head of a request."""
+
+    @abstractmethod
+    def measure(self) -> HeldBytes:
+        """Return what the connection holds now."""
+
+    @abstractmethod
+    def close_for(self, cause: CloseCause) -> None:
+        """Close the connection at once, and drop what it holds."""
+
+    @abstractmethod
+    def parse_next(self) -> bool:
+        """Parse one postponed piece; return whether another can follow."""
+
+
+class ConnectionGuard:
+    """The open connections of a process, and what they hold."""
+
+    def __init__(
+        self,
+        limits: ConnectionLimits,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        """
+        Create a guard without connections.
+
+        :param clock: returns a monotonic time in seconds.
+        """
+        self.limits = limits
+        self._metrics = metrics
+        self._clock = clock
+        self._connections: set[GuardedTransport] = set()
+        self._total = 0
+        self._postponed: deque[GuardedTransport] = deque()
+        self._is_turn_due = False
+        metrics.set_gauge_function(
+            'caller_connections', lambda: len(self._connections)
+        )
+        for kind in _KINDS:
+            metrics.set_gauge_function(
+                'caller_held_bytes', partial(self._sum_kind, kind), kind=kind
+            )
+
+    def add(self, connection: GuardedTransport) -> None:
+        """Count a new connection; close others if there are too many."""
+        connection.holds_since = self._clock()
+        self._connections.add(connection)
+        max_count = self._max_count(connection)
+        if len(self._connections) <= max_count:
+            return
+        self._close_some(max_count, CloseCause.connections)
+        if len(self._connections) > max_count:
+            # All others serve calls.
+            self._close([connection], CloseCause.connections)
+
+    def discard(self, connection: GuardedTransport) -> None:
+        """Count a connection no longer."""
+        if connection in self._connections:
+            self._connections.remove(connection)
+            self._total -= connection.counted_bytes
+            connection.counted_bytes = 0
+
+    def note(self, connection: GuardedTransport) -> None:
+        """Count what a connection holds; close some if it is too much."""
+        if connection not in self._connections:
+            return
+        if not connection.counted_bytes:
+            # An idle connection is ranked by the time since its last bytes.
+            connection.holds_since = self._clock()
+        self._count(connection)
+        if self._total > self.limits.held_bytes:
+            self._close_some(len(self._connections), CloseCause.memory)
+
+    def postpone(self, connection: GuardedTransport) -> None:
+        """Let a connection parse its next pieces in later turns."""
+        if connection not in self._postponed:
+            self._postponed.append(connection)
+        self._schedule_turn()
+
+    def note_close(self, cause: CloseCause, held_bytes: int) -> None:
+        """Log and count a connection that is closed for a cause."""
+        self._metrics.count('caller_connections_closed', cause=cause.name)
+        _log.warning(
+            'Connection is closed.',
+            why=cause.value,
+            held=held_bytes,
+            connections=len(self._connections),
+            held_by_all=self._total,
+        )
+
+    def _max_count(self, connection: GuardedTransport) -> int:
+        if connection.is_for_callers:
+            return self.limits.connections
+        return self.limits.connections + SPARE_CONNECTIONS
+
+    def _count(self, connection: GuardedTransport) -> None:
+        held_bytes = connection.measure().total
+        if held_bytes == connection.counted_bytes:
+            return
+        self._total += held_bytes - connection.counted_bytes
+        connection.counted_bytes = held_bytes
+
+    def _close_some(self, max_count: int, cause: CloseCause) -> None:
+        for connection in self._connections:
+            # What was read or sent meanwhile is held no longer.
+            self._count(connection)
+        now = self._clock()
+        holdings = [
+            Holding(
+                connection,
+                connection.counted_bytes,
+                now - connection.holds_since,
+                connection.is_idle,
+            )
+            for connection in self._connections
+        ]
+        self._close(
+            choose_closed(holdings, self.limits.held_bytes, max_count), cause
+        )
+
+    def _close(
+        self, connections: list[GuardedTransport], cause: CloseCause
+    ) -> None:
+        for connection in connections:
+            held_bytes = connection.counted_bytes
+            self.discard(connection)
+            self.note_close(cause, held_bytes)
+            connection.close_for(cause)
+
+    def _sum_kind(self, kind: str) -> int:
+        totals: Counter[str] = Counter()
+        for connection in self._connections:
+            totals[kind] += getattr(connection.measure(), kind)
+        return totals[kind]
+
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_due:
+            self._is_turn_due = True
+            asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        self._is_turn_due = False
+        for _ in range(min(_PIECES_PER_TURN, len(self._postponed))):
+            connection = self._postponed.popleft()
+            if connection.parse_next():
+                self._postponed.append(connection)
+        if self._postponed:
+            self._schedule_turn()
+
+
+__all__ = ('ConnectionGuard', 'GuardedTransport')
--- /dev/null
+++ b/src/burdockledge/connections/_protocol.py
@@ -0,0 +1,280 @@
+"""The server side of an HTTP connection whose holdings are counted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+
+from burdockledge.connections._guard import GuardedTransport
+from burdockledge.connections._holdings import CloseCause, HeldBytes
+from burdockledge.http_client import READ_BYTES
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from aiohttp.streams import StreamReader
+    from aiohttp.web_server import Server
+
+    from burdockledge.connections._guard import ConnectionGuard
+
+# Parsed at once: the text of an error holds what could not be parsed.
+_PARSE_BYTES: Final = 8 * 1024
+# Of a body whose framing takes more than a quarter of its bytes; 2 KiB of
+# one-byte chunks take about 1 ms.
+_SMALL_PARSE_BYTES: Final = 2 * 1024
+_HEAVY_FRAMING_DIVISOR: Final = 4
+# Less framing is parsed at once anyway.
+_MIN_HEAVY_FRAMING_BYTES: Final = 512
+# Framing that a body may have beyond its own size. Chunks of five bytes or more
+# never reach it, nor do bodies of up to 4,096 one-byte chunks.
+_MAX_EXTRA_FRAMING_BYTES: Final = 16 * 1024
+# The parser keeps the text of a head and its fields.
+_HEAD_FACTOR: Final = 2
+# The objects of a request that waits for the ones before it.
+_REQUEST_BYTES: Final = 4 * 1024
+# Besides the transport's buffer, the handler holds the part of the response
+# that fills it and what that was made from.
+_WRITE_FACTOR: Final = 3
+# While a caller reads a response slowly, the connection to the server holds
+# what it has read ahead.
+_READ_AHEAD_BYTES: Final = 2 * READ_BYTES
+_REQUEST_TIMEOUT_RESPONSE: Final = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+class GuardedConnection(RequestHandler, GuardedTransport):
+    """A connection of a caller, counted and bounded by a guard."""
+
+    def __init__(
+        self, server: Server, guard: ConnectionGuard, **options: Any
+    ) -> None:
+        """Create a connection; the other options are those of aiohttp."""
+        super().__init__(server, **options)
+        self._guard = guard
+        self._backlog = bytearray()
+        # Whether bytes came that are no request.
+        self._is_broken = False
+        self._head_bytes = 0
+        self._last_payload: StreamReader = EMPTY_PAYLOAD
+        self._framing_bytes = 0
+        self._has_heavy_framing = False
+        # Bytes of a body that its handler has read and keeps, and of a
+        # response that waits until the caller has read what is before it.
+        self.collected_bytes = 0
+        self.response_bytes = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for the head of a request."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def _awaits_request_head(self) -> bool:
+        return not self._messages and self._current_request is None
+
+    @property
+    def _can_parse(self) -> bool:
+        """Whether there is room for what the next bytes may contain."""
+        return (
+            not self._reading_paused
+            and len(self._messages) < self._max_msg_queue_size
+        )
+
+    def measure(self) -> HeldBytes:
+        """Return what the connection holds now."""
+        waiting = len(self._messages)
+        if self._waiter:
+            # The connection was idle: the first message is taken at once.
+            waiting -= 1
+        requests = len(self._backlog)
+        if waiting > 0:
+            requests += waiting * _REQUEST_BYTES + sum(
+                _unread_size(payload) for _, payload in self._messages
+            )
+        bodies = self.collected_bytes + _unread_size(self._last_payload)
+        transport = self.transport
+        responses = self.response_bytes
+        if transport is not None and self._paused:
+            responses += transport.get_write_buffer_size() * _WRITE_FACTOR
+            responses += _READ_AHEAD_BYTES
+        heads = self._head_bytes * _HEAD_FACTOR
+        return HeldBytes(heads, bodies, requests, responses)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, and limit what is read at once."""
+        socket_transport: Any = transport
+        socket_transport.max_size = READ_BYTES
+        super().connection_made(transport)
+        self._guard.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Drop what the connection holds."""
+        self._guard.discard(self)
+        super().connection_lost(exc)
+        self._drop_holdings()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, as far as there is room and time for them."""
+        if data and (self._backlog or self._has_heavy_framing):
+            self._backlog += data
+            self._pause_transport_reading()
+            self._guard.postpone(self)
+        else:
+            # Without bytes, the parser goes on with what it has kept.
+            self._parse_pieces(data)
+        self._after_read()
+        self._guard.note(self)
+
+    def pause_writing(self) -> None:
+        """Count what the caller does not read."""
+        super().pause_writing()
+        self._guard.note(self)
+
+    def resume_writing(self) -> None:
+        """Count what the caller has read no longer."""
+        super().resume_writing()
+        self._guard.note(self)
+
+    def note_held(self) -> None:
+        """Count what the handler of the request has changed."""
+        self._guard.note(self)
+
+    def parse_next(self) -> bool:
+        """Parse one postponed piece; return whether another can follow."""
+        if self._force_close or self.transport is None:
+            return False
+        if not self._can_parse:
+            return False
+        size = _SMALL_PARSE_BYTES if self._has_heavy_framing else _PARSE_BYTES
+        self._parse_piece(self._take_postponed(size))
+        self._after_read()
+        self._guard.note(self)
+        if self._backlog:
+            return self._can_parse
+        if not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+        return False
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on with postponed bytes before others are read."""
+        super().resume_reading(resume_parser)
+        if self._backlog:
+            self._guard.postpone(self)
+
+    def close_for(self, cause: CloseCause) -> None:
+        """
+        Close the connection at once, and drop what it holds.
+
+        A request whose head is not whole gets 408: it has not run.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        if self._awaits_request_head and not self._paused and self._head_bytes:
+            transport.write(_REQUEST_TIMEOUT_RESPONSE)
+            self.force_close()
+        else:
+            transport.abort()
+        self._backlog.clear()
+
+    def _resume_reading_if_drained(self) -> None:
+        super()._resume_reading_if_drained()
+        if self._backlog and self._can_parse:
+            self._guard.postpone(self)
+
+    def _resume_transport_reading(self) -> None:
+        if not self._backlog:
+            super()._resume_transport_reading()
+
+    def _after_read(self) -> None:
+        """Do what follows each read."""
+
+    def _after_piece(self, size: int) -> None:
+        """Update what is known of the head or the body being received."""
+        if self._messages:
+            self._last_payload = self._messages[-1][1]
+        if self._awaits_request_head and self._last_payload.is_eof():
+            self._head_bytes += size
+        else:
+            self._head_bytes = 0
+
+    def _parse_pieces(self, data: bytes) -> None:
+        for start in range(0, max(1, len(data)), _PARSE_BYTES):
+            if self._is_broken:
+                return
+            if data and (self._has_heavy_framing or not self._can_parse):
+                self._backlog += data[start:]
+                self._pause_transport_reading()
+                self._guard.postpone(self)
+                return
+            self._parse_piece(data[start : start + _PARSE_BYTES])
+
+    def _parse_piece(self, piece: bytes) -> None:
+        """Parse a piece; what follows bytes that are no request is dropped."""
+        if self._is_broken:
+            return
+        body = self._last_payload
+        body_before = body.total_bytes
+        is_in_body = not body.is_eof()
+        self._feed_parser(piece)
+        self._is_broken = bool(self._messages) and not isinstance(
+            self._messages[-1][0], RawRequestMessage
+        )
+        if self._is_broken:
+            self._fail_body('the framing of the body is broken')
+        self._after_piece(len(piece))
+        if is_in_body and body is self._last_payload:
+            self._limit_framing(len(piece) - body.total_bytes + body_before)
+        else:
+            self._framing_bytes = 0
+            self._has_heavy_framing = False
+
+    def _feed_parser(self, piece: bytes) -> None:
+        RequestHandler.data_received(self, piece)
+
+    def _limit_framing(self, framing_bytes: int) -> None:
+        """Fail a body with much framing; slow down one with small chunks."""
+        body = self._last_payload
+        self._framing_bytes += framing_bytes
+        self._has_heavy_framing = not body.is_eof() and (
+            self._framing_bytes
+            > _MIN_HEAVY_FRAMING_BYTES
+            + (self._framing_bytes + body.total_bytes) // _HEAVY_FRAMING_DIVISOR
+        )
+        if self._framing_bytes > _MAX_EXTRA_FRAMING_BYTES + body.total_bytes:
+            self._guard.note_close(CloseCause.framing, self.measure().total)
+            self._is_broken = True
+            self._backlog.clear()
+            self._fail_body(CloseCause.framing.value)
+
+    def _fail_body(self, why: str) -> None:
+        """Fail a body that broke: its reader would wait for the idle time."""
+        if not self._last_payload.is_eof():
+            self._last_payload.set_exception(RequestPayloadError(why))
+            self._last_payload.feed_eof()
+
+    def _take_postponed(self, size: int) -> bytes:
+        piece = bytes(self._backlog[:size])
+        self._backlog = self._backlog[size:]
+        return piece
+
+    def _drop_holdings(self) -> None:
+        """Free what a task of the connection would keep until it ends."""
+        self._backlog.clear()
+        self._last_payload = EMPTY_PAYLOAD
+        self.collected_bytes = 0
+        self.response_bytes = 0
+
+
+def _unread_size(payload: StreamReader) -> int:
+    """Return the bytes of a body that nobody has read."""
+    # The empty payload of requests without a body has no size.
+    return getattr(payload, '_size', 0)
+
+
+__all__ = ('GuardedConnection',)
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -19,6 +19,11 @@
     register_servers,
     show_limit,
 )
+from burdockledge.host_settings import (
+    large_answer_bytes,
+    read_period_seconds,
+    retry_budget_settings,
+)
 from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
@@ -35,7 +40,6 @@
     STREAMS,
     Relay,
     ReplicatedRoutingState,
-    RetryBudgetSettings,
 )
 from burdockledge.replication import (
     EvidenceKeeper,
@@ -61,9 +65,6 @@
 
 _log = make_logger('host')
 
-# The period of store reads as a fraction of the shorter of two bounds: the time
-# to apply a configuration and the time to stop using a draining server.
-_READ_PERIOD_FRACTION: Final = 0.35
 # A stopping host serves at least this long, so that callers can refresh cached
 # directory responses that still list it.
 _MIN_DRAIN_SECONDS: Final = 3.0
@@ -138,7 +139,7 @@
             STREAMS,
             store_client,
             self.exchange,
-            _read_period_seconds(settings),
+            read_period_seconds(settings),
             clock,
             random,
         )
@@ -148,7 +149,7 @@
             PlatformDecoder(),
             ServerRegistry(),
             self.exchange,
-            _retry_budget_settings(settings),
+            retry_budget_settings(settings),
             clock,
             random,
         )
@@ -160,7 +161,12 @@
             random,
         )
         self.relay = Relay(
-            self.routing_state, self.server_client, clock, random, self.metrics
+            self.routing_state,
+            self.server_client,
+            clock,
+            random,
+            self.metrics,
+            large_answer_bytes(settings),
         )
         self.front = Front(
             settings,
@@ -240,10 +246,8 @@
         )
         self.membership.add_seeds(settings.seeds)
         self.front.apply_settings(self.settings)
-        self.routing_state.apply_retry_settings(
-            _retry_budget_settings(settings)
-        )
-        self.store_reader.set_period(_read_period_seconds(settings))
+        self.routing_state.apply_retry_settings(retry_budget_settings(settings))
+        self.store_reader.set_period(read_period_seconds(settings))
         _log.info(
             'Settings are reloaded.',
             seeds=len(settings.seeds),
@@ -378,21 +382,6 @@
     _log.info('Stopped.', in_flight=host.relay.in_flight)
 
 
-def _retry_budget_settings(settings: RelayHostSettings) -> RetryBudgetSettings:
-    return RetryBudgetSettings(
-        settings.retry_ratio,
-        settings.retry_slack,
-        settings.retry_window_seconds,
-    )
-
-
-def _read_period_seconds(settings: RelayHostSettings) -> float:
-    strictest_bound_seconds = min(
-        settings.configuration_seconds, settings.drain_seconds
-    )
-    return strictest_bound_seconds * _READ_PERIOD_FRACTION
-
-
 def _with_port(address: str, port: int) -> str:
     return f'{address.rpartition(":")[0]}:{port}'
 
--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -7,20 +7,21 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from aiohttp.http import RawRequestMessage
-from aiohttp.streams import EMPTY_PAYLOAD
-from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
 from burdockledge.calls import CallerLimits
+from burdockledge.connections import GuardedConnection
 from burdockledge.http_client import READ_BYTES
 from burdockledge.platform import _names as names
 from burdockledge.relay import CutCause
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
-    from aiohttp.streams import StreamReader
+    from aiohttp.web_protocol import RequestHandler
+
+    from burdockledge.connections import ConnectionGuard
 
 _log = make_logger('front')
 
@@ -28,8 +29,6 @@
 # the connection before the caller has read the response.
 _LINGER_SECONDS: Final = 1.0
 _SHUTDOWN_POLL_SECONDS: Final = 0.01
-# Parsed at once: the text of an error holds what could not be parsed.
-_PARSE_BYTES: Final = 8 * 1024
 # An unfinished head may have this many times the limit of whole ones, which
 # leaves room for the target and for what has been read of the next request.
 _MAX_HEAD_SHARE: Final = 4
@@ -47,26 +46,24 @@
 _DropListener = Callable[[list[str | None], CutCause], None]
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(GuardedConnection):
     """A caller connection with a time limit for the head of each request."""
 
     def __init__(
         self,
         server: CallerServer,
+        guard: ConnectionGuard,
         header_timeout_seconds: float,
         header_bytes: int,
         **options: Any,
     ) -> None:
         """Limit the time from the first byte of a request head to its last."""
-        super().__init__(server, **options)
+        super().__init__(server, guard, **options)
         self._server = server
+        self.is_for_callers = server.is_for_callers
         self._header_timeout_seconds = header_timeout_seconds
         self._header_timer: asyncio.TimerHandle | None = None
-        # Whether bytes came that are no request.
-        self._is_broken = False
         self._header_bytes = header_bytes
-        self._head_bytes = 0
-        self._last_payload: StreamReader = EMPTY_PAYLOAD
         # Whether this host closes the connection as it stops.
         self.is_shut_down = False
         self._is_aborted = False
@@ -86,52 +83,12 @@
         """Whether another request has arrived behind the current one."""
         return bool(self._messages)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the connection waits for the head of a request."""
-        return self._waiter is not None and not self._waiter.done()
-
-    @property
-    def _awaits_request_head(self) -> bool:
-        return not self._messages and self._current_request is None
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """
-        Limit what is read from the socket at once.
-
-        A connection that was accepted as the server closes is closed.
-        """
-        socket_transport: Any = transport
-        socket_transport.max_size = READ_BYTES
+        """Close a connection that was accepted as the server closes."""
         super().connection_made(transport)
         if self._server.is_shutting_down:
             self.force_close()
 
-    def data_received(self, data: bytes) -> None:
-        """
-        Start the timer with a request head, and cancel it at its end.
-
-        What follows bytes that are no request is dropped: each part of it
-        would be kept as one more error to answer.
-        """
-        for start in range(0, max(1, len(data)), _PARSE_BYTES):
-            if self._is_broken:
-                return
-            piece = data[start : start + _PARSE_BYTES]
-            super().data_received(piece)
-            self._is_broken = bool(self._messages) and not isinstance(
-                self._messages[-1][0], RawRequestMessage
-            )
-            if self._is_broken:
-                self._fail_body()
-            self._limit_head(len(piece))
-        if not self._awaits_request_head:
-            self._cancel_header_timer()
-        elif self._header_timer is None:
-            self._header_timer = self._loop.call_later(
-                self._header_timeout_seconds, self._on_header_timeout
-            )
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer, and report requests that were not handled."""
         self._cancel_header_timer()
@@ -155,14 +112,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _fail_body(self) -> None:
-        """Fail a body that broke: its reader would wait for the idle time."""
-        if not self._last_payload.is_eof():
-            self._last_payload.set_exception(
-                RequestPayloadError('the framing of the body is broken')
-            )
-            self._last_payload.feed_eof()
-
     def _process_keepalive(self) -> None:
         """
         Close the connection if it is idle; a head has its own time limit.
@@ -188,16 +137,18 @@
             self._header_timer.cancel()
             self._header_timer = None
 
-    def _limit_head(self, size: int) -> None:
+    def _after_read(self) -> None:
+        """Start the timer with a request head, and cancel it at its end."""
+        if not self._awaits_request_head:
+            self._cancel_header_timer()
+        elif self._header_timer is None:
+            self._header_timer = self._loop.call_later(
+                self._header_timeout_seconds, self._on_header_timeout
+            )
+
+    def _after_piece(self, size: int) -> None:
         """Reject a head that grows far over the limit of whole ones."""
-        if self._messages:
-            self._last_payload = self._messages[-1][1]
-        # The rest of a rejected request is still read for a while.
-        is_in_body = not self._last_payload.is_eof()
-        if is_in_body or not self._awaits_request_head:
-            self._head_bytes = 0
-            return
-        self._head_bytes += size
+        super()._after_piece(size)
         if self._head_bytes > _MAX_HEAD_SHARE * self._header_bytes:
             _log.info('Head of a request has no end.', bytes=self._head_bytes)
             self._is_broken = True
@@ -223,10 +174,21 @@
 
     limits = CallerLimits()
 
-    def __init__(self, handler: _Handler, on_drop: _DropListener) -> None:
-        """Create a server that cancels the calls of callers that leave."""
+    def __init__(
+        self,
+        handler: _Handler,
+        guard: ConnectionGuard,
+        on_drop: _DropListener | None = None,
+    ) -> None:
+        """
+        Create a server that cancels the calls of callers that leave.
+
+        :param on_drop: None if the listener is not for callers.
+        """
         super().__init__(handler, handler_cancellation=True)
-        self.on_drop = on_drop
+        self._guard = guard
+        self.is_for_callers = on_drop is not None
+        self.on_drop = on_drop or _ignore_drop
         # Set when the listeners have closed.
         self.is_shutting_down = False
 
@@ -234,6 +196,7 @@
         """Return the protocol of a new connection."""
         return CallerConnection(
             self,
+            self._guard,
             self.limits.header_timeout_seconds,
             self.limits.header_bytes,
             loop=self._loop,
@@ -270,4 +233,8 @@
         return busy_count
 
 
+def _ignore_drop(request_ids: list[str | None], cause: CutCause) -> None:
+    """Drop requests of operators, which have no ids."""
+
+
 __all__ = ('CallerConnection', 'CallerServer')
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -10,11 +10,12 @@
 from aiohttp.web_protocol import RequestPayloadError
 
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
+from burdockledge.connections import GuardedConnection
 from burdockledge.platform import _names as names
 from burdockledge.scheduling import ServerNotice
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import AsyncIterator, Iterable
 
     from aiohttp.web_request import BaseRequest
 
@@ -214,14 +215,31 @@
 async def _read_body(request: BaseRequest, limits: CallerLimits) -> bytes:
     if not request.body_exists:
         return b''
+    connection = request.protocol
+    if not isinstance(connection, GuardedConnection):
+        return b''.join([chunk async for chunk in _chunks(request, limits)])
     chunks: list[bytes] = []
+    try:
+        async for chunk in _chunks(request, limits):
+            chunks.append(chunk)
+            connection.collected_bytes += len(chunk)
+    finally:
+        # A whole body belongs to the call.
+        connection.collected_bytes = 0
+        connection.note_held()
+    return b''.join(chunks)
+
+
+async def _chunks(
+    request: BaseRequest, limits: CallerLimits
+) -> AsyncIterator[bytes]:
+    """Yield a body as it arrives, as long as it is within the limit."""
     size = 0
     while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
         size += len(chunk)
         if size > limits.body_bytes:
             raise BadCallError(_TOO_LARGE, 'the body is too large')
-        chunks.append(chunk)
-    return b''.join(chunks)
+        yield chunk
 
 
 async def _read_chunk(request: BaseRequest, timeout_seconds: float) -> bytes:
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Final
 
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
 
 from burdockledge.calls import CallerLimits
+from burdockledge.connections import ConnectionGuard, derive_limits, listen
 from burdockledge.kernel import Service
 from burdockledge.platform import _names as names
 from burdockledge.platform._caller_connections import (
@@ -23,6 +24,7 @@
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
+    from aiohttp.web_server import Server
 
     from burdockledge.directory import Directory
     from burdockledge.platform._part_endpoint import PartEndpoint
@@ -37,6 +39,8 @@
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _BACKLOG: Final = 512
+# Responses up to this size are sent at once.
+_MAX_WHOLE_BYTES: Final = 64 * 1024
 # Requests in flight when the listeners close are cancelled after this time,
 # unless the host has more left.
 _MIN_SHUTDOWN_SECONDS: Final = 0.05
@@ -75,6 +79,9 @@
         self, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete response."""
+        if len(body) > _MAX_WHOLE_BYTES:
+            await self._send_large(status, headers, body)
+            return
         response = Response(status=status, body=body)
         self._add_headers(response, headers)
         self.response = response
@@ -105,6 +112,29 @@
         if isinstance(connection, CallerConnection):
             connection.abort()
 
+    async def _send_large(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """
+        Send a response as its caller reads it.
+
+        Sent at once, the transport would hold a second copy.
+        """
+        response = StreamResponse(status=status)
+        self._add_headers(response, headers)
+        response.content_length = len(body)
+        self.response = response
+        connection = self._request.protocol
+        if isinstance(connection, CallerConnection):
+            connection.response_bytes = len(body)
+        await self._prepare(response)
+        for start in range(0, len(body), _MAX_WHOLE_BYTES):
+            await response.write(body[start : start + _MAX_WHOLE_BYTES])
+        await response.write_eof()
+        if isinstance(connection, CallerConnection):
+            connection.response_bytes = 0
+            connection.note_held()
+
     def _add_headers(self, response: StreamResponse, headers: Headers) -> None:
         for name, text in headers:
             response.headers.add(name, text)
@@ -144,7 +174,14 @@
         self._metrics = metrics
         self._metrics_lock = asyncio.Lock()
         self._listeners: list[tuple[Server, asyncio.Server]] = []
-        self._caller_server = CallerServer(self._handle_call, self._note_drop)
+        self._guard = ConnectionGuard(
+            derive_limits(settings.memory_bytes, settings.max_descriptors),
+            metrics,
+            time.monotonic,
+        )
+        self._caller_server = CallerServer(
+            self._handle_call, self._guard, self._note_drop
+        )
         # Set when the host drains: responses then close their connection.
         self.is_closing = False
         # How long requests in flight may take when the listeners have closed.
@@ -167,7 +204,9 @@
             (settings.readiness_address, self._handle_readiness),
             (settings.control_address, self._handle_control),
         ):
-            await self._open_listener(Server(handler, access_log=None), address)
+            await self._open_listener(
+                CallerServer(handler, self._guard), address
+            )
 
     async def stop(self) -> None:
         """
@@ -187,10 +226,7 @@
 
     async def _open_listener(self, server: Server, address: str) -> None:
         ip, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(
-            server, ip, int(port), backlog=_BACKLOG
-        )
+        listener = await listen(server, ip.strip('[]'), int(port), _BACKLOG)
         self._listeners.append((server, listener))
 
     async def _handle_call(self, request: BaseRequest) -> StreamResponse:
--- a/src/burdockledge/relay/_answer_memory.py
+++ b/src/burdockledge/relay/_answer_memory.py
@@ -35,9 +35,9 @@
     the order in which they asked.
     """
 
-    def __init__(self) -> None:
-        """Create a memory that is free."""
-        self._free = MAX_LARGE_BYTES
+    def __init__(self, size: int = MAX_LARGE_BYTES) -> None:
+        """Create a memory that is free, with room for one answer at least."""
+        self._free = max(MAX_BODY_BYTES, min(MAX_LARGE_BYTES, size))
         self._waiters: deque[_Waiter] = deque()
 
     @property
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -9,11 +9,7 @@
 from result import Err
 
 from burdockledge.calls import ResponseProgress, RouteKind
-from burdockledge.relay._answer_memory import (
-    AnswerMemory,
-    HeldAnswer,
-    read_body,
-)
+from burdockledge.relay._answer_memory import HeldAnswer, read_body
 from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._placer import Placer, Refusal
 from burdockledge.relay._ports import (
@@ -33,6 +29,7 @@
     from result import Result
 
     from burdockledge.clock import Clock
+    from burdockledge.relay._answer_memory import AnswerMemory
     from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._ports import ServerClient, ServerResponse
     from burdockledge.relay._responder import Responder
@@ -83,13 +80,14 @@
         planned_stop: PlannedStop,
         clock: Clock,
         metrics: Metrics,
+        answer_memory: AnswerMemory,
     ) -> None:
         """Create a forwarder that sends through a client."""
         self._state = routing_state
         self._client = client
         self._planned_stop = planned_stop
         self._placer = Placer(routing_state, planned_stop, clock)
-        self._memory = AnswerMemory()
+        self._memory = answer_memory
         self._streams = StreamRelay(routing_state, clock, metrics)
         self._responder = responder
         self._clock = clock
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from burdockledge.relay._answer_memory import MAX_LARGE_BYTES, AnswerMemory
 from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._forwarder import Forwarder
 from burdockledge.relay._placer import Refusal
@@ -50,8 +51,13 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        large_answer_bytes: int = MAX_LARGE_BYTES,
     ) -> None:
-        """Create a relay that sends through a client."""
+        """
+        Create a relay that sends through a client.
+
+        :param large_answer_bytes: what all large answers together may hold.
+        """
         self._state = routing_state
         self._clock = clock
         self._random = random
@@ -64,6 +70,7 @@
             self._planned_stop,
             clock,
             metrics,
+            AnswerMemory(large_answer_bytes),
         )
         self.in_flight = 0
 
--- /dev/null
+++ b/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds over all connections."""
--- a/tests/flood/hostile_crowds.py
+++ b/tests/flood/hostile_crowds.py
@@ -70,7 +70,7 @@
     return pieces
 
 
-def _head(size: int) -> bytes:
+def unfinished_head(size: int) -> bytes:
     """Return a request head of some bytes that has no end."""
     line = b'X-Filler: ' + b'y' * 1000 + b'\r\n'
     begin = b'POST /good/unsafe/x HTTP/1.1\r\n'
@@ -90,8 +90,13 @@
 
 # Of the front unless another listener is named.
 CROWDS: Final = (
-    Crowd('unfinished heads', 'front', 320, once(_head(60 * 1024))),
-    Crowd('heads over the limit', 'front', 320, endless(b'', _head(60_000))),
+    Crowd('unfinished heads', 'front', 320, once(unfinished_head(60 * 1024))),
+    Crowd(
+        'heads over the limit',
+        'front',
+        320,
+        endless(b'', unfinished_head(60_000)),
+    ),
     Crowd('empty lines', 'front', 48, endless(b'', b'\r\n' * 8192)),
     Crowd('half bodies', 'front', 320, once(_HALF_BODY)),
     Crowd('requests sent ahead', 'front', 320, once(_PIPELINED_LARGE * 40)),
@@ -109,7 +114,7 @@
         320,
         once(request_bytes('/events/streaming/', 's')),
     ),
-    Crowd('unfinished heads', 'control', 320, once(_head(60 * 1024))),
+    Crowd('unfinished heads', 'control', 320, once(unfinished_head(60 * 1024))),
     Crowd('empty lines', 'control', 48, endless(b'', b'\r\n' * 8192)),
     Crowd('half bodies', 'control', 320, once(_LONG_HALF_BODY)),
     Crowd('requests sent ahead', 'control', 320, once(_METRICS * 4000)),
@@ -117,4 +122,11 @@
     Crowd('half bodies', 'directory', 320, once(_LONG_HALF_BODY)),
 )
 
-__all__ = ('CROWDS', 'Crowd', 'hold_connection')
+__all__ = (
+    'CROWDS',
+    'Crowd',
+    'endless',
+    'hold_connection',
+    'once',
+    'unfinished_head',
+)
