Take no status outside 100 to 599 for an answer

Callers got statuses 600 and 999 from a server as they were, on routes without a second send, and callers of serve those of plain services: the client connections checked only that a status is 100 or more. They now take 100 to 599 (RFC 9110, section 15), so callers of a host get 502, or the answer of the second send, and a call to a service is in doubt.

--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -43,7 +43,8 @@
 # Requests that one connection carries, which bounds the ids that it keeps.
 _MAX_REQUESTS: Final = 256
 _VERSIONS: Final = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
-_FIRST_STATUS: Final = 100
+# Valid statuses (RFC 9110, section 15).
+_STATUSES: Final = range(100, 600)
 _SWITCHING_PROTOCOLS: Final = 101
 _FIRST_FINAL_STATUS: Final = 200
 
@@ -305,7 +306,7 @@
     """Return whether a head is one of HTTP/1, without a change of protocol."""
     return (
         message.version in _VERSIONS
-        and message.code >= _FIRST_STATUS
+        and message.code in _STATUSES
         and message.code != _SWITCHING_PROTOCOLS
     )
 
--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -83,16 +83,19 @@
     handler: Handler,
     test: Callable[[FrontHarness], Awaitable[None]],
     retries: int = 10,
+    *,
+    reads_bodies: bool = True,
 ) -> None:
     """
     Run a test against a running front and a stand-in server.
 
     :param handler: responds to the requests that reach the server.
     :param retries: how many retries the budget of the service has.
+    :param reads_bodies: whether the server reads each body before it responds.
     """
 
     async def run() -> None:
-        server = StandInServer(handler)
+        server = StandInServer(handler, reads_bodies=reads_bodies)
         await server.start()
         routing_state = SingleServerRoutingState(retries_left=retries)
         routing_state.instance = ServerInstance(
--- a/tests/platform_adapter/standin_server.py
+++ b/tests/platform_adapter/standin_server.py
@@ -18,13 +18,15 @@
     """
     A server that passes the head of each request to a handler.
 
-    Bodies need a Content-Length. ``requests`` holds the head and the body of
-    each request; ``address`` is ``IP:port``.
+    Bodies need a Content-Length; they are left to the handler if
+    ``reads_bodies`` is false. ``requests`` holds the head and the body of each
+    request; ``address`` is ``IP:port``.
     """
 
     handler: Handler
     requests: list[tuple[bytes, bytes]] = field(default_factory=list)
     connection_count: int = 0
+    reads_bodies: bool = True
     address: str = ''
 
     async def start(self) -> None:
@@ -44,7 +46,9 @@
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
-                body = await reader.readexactly(_content_length(head))
+                body = b''
+                if self.reads_bodies:
+                    body = await reader.readexactly(_content_length(head))
                 self.requests.append((head, body))
                 await self.handler(head, reader, writer)
                 await writer.drain()
