--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -45,6 +45,10 @@
     def is_idle(self) -> bool:
         """Whether the connection waits for the head of a request."""
 
+    @abstractmethod
+    def holds_nothing(self) -> bool:
+        """Return whether there is nothing to count, at little cost."""
+
     @abstractmethod
     def measure(self) -> HeldBytes:
         """Return what the connection holds now."""
@@ -108,11 +112,13 @@
 
     def note(self, connection: GuardedTransport) -> None:
         """Count what a connection holds; close some if it is too much."""
-        if connection not in self._connections:
-            return
         if not connection.counted_bytes:
             # An idle connection is ranked by the time since its last bytes.
             connection.holds_since = self._clock()
+            if connection.holds_nothing():
+                return
+        if connection not in self._connections:
+            return
         self._count(connection)
         if self._total > self.limits.held_bytes:
             self._close_some(len(self._connections), CloseCause.memory)
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -33,6 +33,8 @@
 _MAX_EXTRA_FRAMING_BYTES: Final = 16 * 1024
 # The parser keeps the text of a head and its fields.
 _HEAD_FACTOR: Final = 2
+# A buffer that grows and shrinks may have twice the memory of its bytes.
+_BACKLOG_FACTOR: Final = 2
 # The objects of a request that waits for the ones before it.
 _REQUEST_BYTES: Final = 4 * 1024
 # Besides the transport's buffer, the handler holds the part of the response
@@ -91,7 +93,7 @@
         if self._waiter:
             # The connection was idle: the first message is taken at once.
             waiting -= 1
-        requests = len(self._backlog)
+        requests = len(self._backlog) * _BACKLOG_FACTOR
         if waiting > 0:
             requests += waiting * _REQUEST_BYTES + sum(
                 _unread_size(payload) for _, payload in self._messages
@@ -105,6 +107,20 @@
         heads = self._head_bytes * _HEAD_FACTOR
         return HeldBytes(heads, bodies, requests, responses)
 
+    def holds_nothing(self) -> bool:
+        """
+        Return whether there is nothing to count, at little cost.
+
+        A whole request that came at once is not counted if it is the only one:
+        its handler takes it in the next turn.
+        """
+        if self._messages and (self._waiter is None or len(self._messages) > 1):
+            return False
+        if self._paused or not self._last_payload.is_eof():
+            return False
+        held = self._head_bytes + self.collected_bytes + self.response_bytes
+        return not (held or self._backlog)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection, and limit what is read at once."""
         socket_transport: Any = transport
@@ -120,12 +136,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, as far as there is room and time for them."""
-        if data and (self._backlog or self._has_heavy_framing):
+        is_postponed = self._backlog or self._has_heavy_framing
+        if len(data) <= _PARSE_BYTES and not is_postponed:
+            # Without bytes, the parser goes on with what it has kept.
+            self._parse_piece(data)
+        elif is_postponed and data:
             self._backlog += data
             self._pause_transport_reading()
             self._guard.postpone(self)
         else:
-            # Without bytes, the parser goes on with what it has kept.
             self._parse_pieces(data)
         self._after_read()
         self._guard.note(self)
@@ -142,7 +161,8 @@
 
     def note_held(self) -> None:
         """Count what the handler of the request has changed."""
-        self._guard.note(self)
+        if self.counted_bytes or not self.holds_nothing():
+            self._guard.note(self)
 
     def parse_next(self) -> bool:
         """Parse one postponed piece; return whether another can follow."""
@@ -194,14 +214,8 @@
     def _after_read(self) -> None:
         """Do what follows each read."""
 
-    def _after_piece(self, size: int) -> None:
-        """Update what is known of the head or the body being received."""
-        if self._messages:
-            self._last_payload = self._messages[-1][1]
-        if self._awaits_request_head and self._last_payload.is_eof():
-            self._head_bytes += size
-        else:
-            self._head_bytes = 0
+    def _limit_head(self) -> None:
+        """Reject a head that is too large; called as it grows."""
 
     def _parse_pieces(self, data: bytes) -> None:
         for start in range(0, max(1, len(data)), _PARSE_BYTES):
@@ -221,22 +235,26 @@
         body = self._last_payload
         body_before = body.total_bytes
         is_in_body = not body.is_eof()
-        self._feed_parser(piece)
-        self._is_broken = bool(self._messages) and not isinstance(
+        RequestHandler.data_received(self, piece)
+        if self._messages and not isinstance(
             self._messages[-1][0], RawRequestMessage
-        )
-        if self._is_broken:
+        ):
+            self._is_broken = True
             self._fail_body('the framing of the body is broken')
-        self._after_piece(len(piece))
+        if self._messages:
+            self._head_bytes = 0
+            self._last_payload = self._messages[-1][1]
+        elif self._current_request is None and self._last_payload.is_eof():
+            self._head_bytes += len(piece)
+            self._limit_head()
+        else:
+            self._head_bytes = 0
         if is_in_body and body is self._last_payload:
             self._limit_framing(len(piece) - body.total_bytes + body_before)
         else:
             self._framing_bytes = 0
             self._has_heavy_framing = False
 
-    def _feed_parser(self, piece: bytes) -> None:
-        RequestHandler.data_received(self, piece)
-
     def _limit_framing(self, framing_bytes: int) -> None:
         """Fail a body with much framing; slow down one with small chunks."""
         body = self._last_payload
--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -146,9 +146,8 @@
                 self._header_timeout_seconds, self._on_header_timeout
             )
 
-    def _after_piece(self, size: int) -> None:
+    def _limit_head(self) -> None:
         """Reject a head that grows far over the limit of whole ones."""
-        super()._after_piece(size)
         if self._head_bytes > _MAX_HEAD_SHARE * self._header_bytes:
             _log.info('Head of a request has no end.', bytes=self._head_bytes)
             self._is_broken = True
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -5,21 +5,21 @@
 import asyncio
 import math
 import re
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, cast
 
 from aiohttp.web_protocol import RequestPayloadError
 
 from burdockledge.calls import ForwardedCall, Prompt, PromptPart
-from burdockledge.connections import GuardedConnection
 from burdockledge.platform import _names as names
 from burdockledge.scheduling import ServerNotice
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterable
+    from collections.abc import Iterable
 
     from aiohttp.web_request import BaseRequest
 
     from burdockledge.calls import CallerLimits
+    from burdockledge.connections import GuardedConnection
     from burdockledge.relay import Headers, OutboundCall
 
 _BAD_REQUEST: Final = 400
@@ -215,33 +215,22 @@
 async def _read_body(request: BaseRequest, limits: CallerLimits) -> bytes:
     if not request.body_exists:
         return b''
-    connection = request.protocol
-    if not isinstance(connection, GuardedConnection):
-        return b''.join([chunk async for chunk in _chunks(request, limits)])
+    connection = cast('GuardedConnection', request.protocol)
     chunks: list[bytes] = []
     try:
-        async for chunk in _chunks(request, limits):
-            chunks.append(chunk)
+        while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
             connection.collected_bytes += len(chunk)
+            if connection.collected_bytes > limits.body_bytes:
+                raise BadCallError(_TOO_LARGE, 'the body is too large')
+            chunks.append(chunk)
     finally:
         # A whole body belongs to the call.
         connection.collected_bytes = 0
-        connection.note_held()
+        if connection.counted_bytes:
+            connection.note_held()
     return b''.join(chunks)
 
 
-async def _chunks(
-    request: BaseRequest, limits: CallerLimits
-) -> AsyncIterator[bytes]:
-    """Yield a body as it arrives, as long as it is within the limit."""
-    size = 0
-    while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
-        size += len(chunk)
-        if size > limits.body_bytes:
-            raise BadCallError(_TOO_LARGE, 'the body is too large')
-        yield chunk
-
-
 async def _read_chunk(request: BaseRequest, timeout_seconds: float) -> bytes:
     """Return the next bytes of a body, empty at its end."""
     try:
