--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -44,7 +44,6 @@
     Peer,
     StoreReader,
 )
-from burdockledge.scheduling import PlacementOptions
 from burdockledge.settings_watcher import SettingsWatcher
 from burdockledge.telemetry import (
     Metrics,
@@ -152,7 +151,7 @@
             host_values.retry_budget_settings(settings),
             clock,
             random,
-            PlacementOptions(weighs_pressure=settings.sheds_load),
+            host_values.placement_options(settings),
         )
         self.evidence_keeper = EvidenceKeeper(
             settings.host,
@@ -162,7 +161,12 @@
             random,
         )
         self.relay = Relay(
-            self.routing_state, self.server_client, clock, random, self.metrics
+            self.routing_state,
+            self.server_client,
+            clock,
+            random,
+            self.metrics,
+            host_values.large_answer_bytes(settings),
         )
         self.front = Front(
             settings,
--- a/src/burdockledge/host_values.py
+++ b/src/burdockledge/host_values.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.connections import derive_limits
 from burdockledge.relay import RetryBudgetSettings
+from burdockledge.scheduling import PlacementOptions
 
 if TYPE_CHECKING:
     from burdockledge.settings import RelayHostSettings
@@ -14,6 +16,12 @@
 _READ_PERIOD_FRACTION: Final = 0.35
 
 
+def large_answer_bytes(settings: RelayHostSettings) -> int:
+    """Return what all large answers together may hold."""
+    limits = derive_limits(settings.memory_bytes, settings.max_descriptors)
+    return limits.large_answer_bytes
+
+
 def retry_budget_settings(settings: RelayHostSettings) -> RetryBudgetSettings:
     """Return the budget of retries that all hosts share."""
     return RetryBudgetSettings(
@@ -23,6 +31,11 @@
     )
 
 
+def placement_options(settings: RelayHostSettings) -> PlacementOptions:
+    """Return what the choice of a server takes into account."""
+    return PlacementOptions(weighs_pressure=settings.sheds_load)
+
+
 def read_period_seconds(settings: RelayHostSettings) -> float:
     """Return the seconds between two reads of a topic by all hosts."""
     strictest_bound_seconds = min(
@@ -36,4 +49,10 @@
     return f'{address.rpartition(":")[0]}:{port}'
 
 
-__all__ = ('read_period_seconds', 'retry_budget_settings', 'with_port')
+__all__ = (
+    'large_answer_bytes',
+    'placement_options',
+    'read_period_seconds',
+    'retry_budget_settings',
+    'with_port',
+)
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import re
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, cast
 
 from aiohttp.web_protocol import RequestPayloadError
 
@@ -19,6 +19,7 @@
     from aiohttp.web_request import BaseRequest
 
     from burdockledge.calls import CallerLimits
+    from burdockledge.connections import GuardedConnection
     from burdockledge.relay import Headers, OutboundCall
 
 _BAD_REQUEST: Final = 400
@@ -214,13 +215,19 @@
 async def _read_body(request: BaseRequest, limits: CallerLimits) -> bytes:
     if not request.body_exists:
         return b''
+    connection = cast('GuardedConnection', request.protocol)
     chunks: list[bytes] = []
-    size = 0
-    while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
-        size += len(chunk)
-        if size > limits.body_bytes:
-            raise BadCallError(_TOO_LARGE, 'the body is too large')
-        chunks.append(chunk)
+    try:
+        while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
+            connection.collected_bytes += len(chunk)
+            if connection.collected_bytes > limits.body_bytes:
+                raise BadCallError(_TOO_LARGE, 'the body is too large')
+            chunks.append(chunk)
+    finally:
+        # A whole body belongs to the call.
+        connection.collected_bytes = 0
+        if connection.counted_bytes:
+            connection.note_held()
     return b''.join(chunks)
 
 
