Refuse calls for which servers have no room

Nothing was refused at any load, so calls waited at full servers until their time limit and delayed those that could still be on time.

With `pressure` in `contracts` of the settings file, each host compares the forecast wait of a call with its time limit, and refuses it before the first send, in proportion to the excess. Lost calls are sent with an urgency lower by one step in the tier of their team. Without the setting, placing is as before.

Leaving out servers that a stream would outlast moves to `Selection`.

--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -151,7 +151,10 @@
             host_values.retry_budget_settings(settings),
             clock,
             random,
-            PlacementOptions(weighs_pressure=settings.sheds_load),
+            PlacementOptions(
+                weighs_pressure=settings.sheds_load,
+                sheds_load=settings.sheds_load,
+            ),
         )
         self.evidence_keeper = EvidenceKeeper(
             settings.host,
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from burdockledge.calls import ResponseProgress, RouteKind
+from burdockledge.relay._admission_gate import log_refusal
 from burdockledge.relay._answer_memory import (
     AnswerMemory,
     HeldAnswer,
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from burdockledge.admission import LoadRefusal
     from burdockledge.clock import Clock
     from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._ports import ServerClient, ServerResponse
@@ -103,6 +105,8 @@
                 break
             if isinstance(placement, Refusal):
                 refusal = placement
+                if placement.lack_of_room is not None:
+                    self._record_refusal(served, placement.lack_of_room)
                 break
             result = await self._send_once(served, placement)
             if not isinstance(result, str):
@@ -124,6 +128,14 @@
             served, UNAVAILABLE, why, refusal.retry_after_seconds
         )
 
+    def _record_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
+        self._metrics.count(
+            'load_refusals',
+            service=served.service,
+            reason=refusal.reason.name,
+        )
+        log_refusal(served, refusal, self._state.age_ms())
+
     def _may_send(self, served: ServedCall) -> bool:
         if not served.sends:
             return True
@@ -218,7 +230,11 @@
             call=served.call,
             instance=placement.instance,
             team=None if served.team is None else served.team.name,
-            urgency=served.urgency,
+            urgency=(
+                served.urgency
+                if placement.urgency is None
+                else placement.urgency
+            ),
             remaining_seconds=self._planned_stop.seconds_until(served.deadline),
             last_event_id=served.event_buffer.last_id
             or served.call.last_event_id,
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.admission import LoadRefusal
 from burdockledge.quarantine import Verdict
 from burdockledge.relay._planned_stop import STOPPING
 
@@ -20,6 +21,11 @@
 # target.
 _HOLD_LATENCY_TARGETS: Final = 0.5
 _HOLD_POLL_SECONDS: Final = 0.02
+# Callers lose nothing by a refusal up to this share of the latency target.
+_REFUSAL_LATENCY_TARGETS: Final = 0.125
+# A call that waits for room is decided on again so often, as each decision
+# takes CPU time of a host under load.
+_ROOM_POLL_LATENCY_TARGETS: Final = 0.04
 _ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
 
 
@@ -29,10 +35,12 @@
     Why a call is not sent, and when its caller may come back.
 
     ``retry_after_seconds`` is 0 for the usual time, None if that is unknown.
+    ``lack_of_room`` tells more if servers have no room for the call.
     """
 
     why: str
     retry_after_seconds: float | None = 0.0
+    lack_of_room: LoadRefusal | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +49,7 @@
 
     why: str
     seconds: float = 0.0
+    lack_of_room: LoadRefusal | None = None
 
 
 class Placer:
@@ -66,9 +75,11 @@
 
         :return: None if no server is left to try.
         """
-        hold_until = (
-            self._clock.monotonic()
-            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
+        target_seconds = served.route.latency_target_seconds
+        now = self._clock.monotonic()
+        hold_until = now + _HOLD_LATENCY_TARGETS * target_seconds
+        refuse_at = (
+            served.arrived_at + _REFUSAL_LATENCY_TARGETS * target_seconds
         )
         while True:
             if not served.may_have_run and self._planned_stop.would_cut_off(
@@ -78,7 +89,8 @@
             placement = self._try_to_place(served)
             if not isinstance(placement, _Wait):
                 return placement
-            if self._clock.monotonic() + placement.seconds > hold_until:
+            latest = hold_until if placement.lack_of_room is None else refuse_at
+            if self._clock.monotonic() + placement.seconds > latest:
                 return self._refuse_to_wait(served, placement)
             await asyncio.sleep(max(placement.seconds, _HOLD_POLL_SECONDS))
 
@@ -94,22 +106,32 @@
             )
         if verdict is Verdict.deferred:
             return _Wait('a part of its prompt may crash servers')
-        tried_instance_ids = frozenset(served.tried_instance_ids)
-        placement = self._state.place(
-            served.service,
-            served.route,
-            served.urgency,
-            prompt,
-            tried_instance_ids,
-        )
+        placement = self._state.place_or_refuse(served)
+        if isinstance(placement, LoadRefusal):
+            target_seconds = served.route.latency_target_seconds
+            return _Wait(
+                placement.reason.value,
+                max(
+                    placement.room_seconds,
+                    _ROOM_POLL_LATENCY_TARGETS * target_seconds,
+                ),
+                placement,
+            )
         if placement is not None:
             return placement
         wait = self._state.seconds_until_usable(
-            served.service, tried_instance_ids
+            served.service, frozenset(served.tried_instance_ids)
         )
         return None if wait is None else _Wait(_ALL_BUSY, wait)
 
     def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> Refusal:
+        if wait.lack_of_room is not None:
+            self._state.note_refusal(served, wait.lack_of_room)
+            return Refusal(
+                wait.why,
+                wait.lack_of_room.retry_after_seconds,
+                wait.lack_of_room,
+            )
         if wait.why != _ALL_BUSY:
             return Refusal(wait.why)
         return Refusal(
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from burdockledge.admission import LoadRefusal
 from burdockledge.calls import Prompt, RouteKind
+from burdockledge.relay._admission_gate import AdmissionGate
 from burdockledge.relay._call_codec import decode_call_start, encode_call_start
 from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
 from burdockledge.relay._part_guard import PartGuard
@@ -18,7 +19,7 @@
 )
 from burdockledge.relay._routes import RouteIndex
 from burdockledge.relay._routing_state import Placement, RoutingState
-from burdockledge.relay._server_gate import Obstacle, Selection, ServerGate
+from burdockledge.relay._server_gate import Selection, ServerGate
 from burdockledge.relay._server_records import ServerRecords
 from burdockledge.scheduling import (
     CallResult,
@@ -47,8 +48,9 @@
     from burdockledge.quarantine import Verdict
     from burdockledge.registry import ServerRegistry
     from burdockledge.relay._routing_state import SendOutcome
+    from burdockledge.relay._served_call import ServedCall
     from burdockledge.replication import GossipExchange
-    from burdockledge.scheduling import ServerNotice
+    from burdockledge.scheduling import PlacementChoice, ServerNotice
     from burdockledge.wire import Note
 
 _log = make_logger('knowledge')
@@ -99,6 +101,9 @@
         self._loads = LoadTracker(options)
         self._health = HealthTracker(host)
         self._policy = make_policy(options, self._loads, self._health, random)
+        self._admission = (
+            AdmissionGate(self._loads, random) if options.sheds_load else None
+        )
         self.parts = PartGuard(exchange, clock, random)
         self.limits = LimitGuard(exchange, clock, random)
         self.gate = ServerGate(registry, self.limits.limits)
@@ -122,6 +127,11 @@
         """The registered servers."""
         return self._registry
 
+    @property
+    def sheds_load(self) -> bool:
+        """Whether calls may be refused for lack of room."""
+        return self._admission is not None
+
     @property
     def loads(self) -> LoadTracker:
         """The loads of the servers, and what their services' calls ask."""
@@ -167,7 +177,56 @@
     ) -> Placement | None:
         """Choose a server, and tell the other hosts that it gets a call."""
         now = self._clock.monotonic()
-        request = PlacementRequest(
+        request = self._request(service, route, urgency, prompt)
+        selection = self._select(request, route, tried_instance_ids, now)
+        choice = self._choose(selection, request, now)
+        if choice is None:
+            return None
+        return self._start(request, choice, selection, now)
+
+    def place_or_refuse(
+        self, served: ServedCall
+    ) -> Placement | LoadRefusal | None:
+        """Place a call if there is room for it; see ``AdmissionGate``."""
+        if self._admission is None:
+            return super().place_or_refuse(served)
+        now = self._clock.monotonic()
+        request = self._request(
+            served.service, served.route, served.urgency, served.call.prompt
+        )
+        selection = self._select(
+            request, served.route, frozenset(served.tried_instance_ids), now
+        )
+        choice = self._choose(selection, request, now)
+        if choice is None:
+            return None
+        if served.sends or served.may_have_run:
+            return self._start(request, choice, selection, now)
+        admitted = self._admission.admit(
+            served, choice, selection.instances, now
+        )
+        if isinstance(admitted, LoadRefusal):
+            return admitted
+        return self._start(
+            request,
+            choice,
+            selection,
+            now,
+            admitted.urgency,
+            admitted.first_event_seconds,
+        )
+
+    def note_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
+        """Remember a call whose caller is told to come back."""
+        if self._admission is not None:
+            self._admission.note_refusal(
+                served, refusal, self._clock.monotonic()
+            )
+
+    def _request(
+        self, service: str, route: Route, urgency: int, prompt: Prompt
+    ) -> PlacementRequest:
+        return PlacementRequest(
             service,
             urgency,
             prompt,
@@ -175,30 +234,64 @@
             route.latency_target_seconds,
             route.pause_target_seconds,
         )
-        selection = self.gate.select(service, tried_instance_ids, now)
-        if self.server_records.departures.has_any:
-            selection = self._without_departures(selection, route, prompt, now)
-        choice = self._policy.choose(
+
+    def _select(
+        self,
+        request: PlacementRequest,
+        route: Route,
+        tried_instance_ids: frozenset[str],
+        now: float,
+    ) -> Selection:
+        selection = self.gate.select(request.service, tried_instance_ids, now)
+        departures = self.server_records.departures
+        if not departures.has_any or route.kind is not RouteKind.stream:
+            return selection
+        return selection.lasting(
+            departures,
+            lambda instance: self._loads.load_of(
+                instance.instance_id
+            ).stream_seconds(request.prompt, now),
+            now,
+        )
+
+    def _choose(
+        self, selection: Selection, request: PlacementRequest, now: float
+    ) -> PlacementChoice | None:
+        return self._policy.choose(
             selection.instances,
             request,
             now,
             self.limits.limits.limited_ids,
         )
-        if choice is None:
-            return None
+
+    def _start(
+        self,
+        request: PlacementRequest,
+        choice: PlacementChoice,
+        selection: Selection,
+        now: float,
+        urgency: int | None = None,
+        forecast_seconds: float = 0.0,
+    ) -> Placement:
+        """
+        Record that a call is sent to a server.
+
+        :param urgency: replaces that of the request, unless None.
+        """
+        prompt = request.prompt
         call_id = self._random.getrandbits(_CALL_ID_BITS)
         start = CallStart(
             call_id,
             choice.instance.instance_id,
-            urgency,
+            request.urgency if urgency is None else urgency,
             choice.prefill_tokens,
             prompt,
             prompt.max_output_tokens,
-            route.pause_target_seconds,
+            request.pause_target_seconds,
         )
         self._loads.start(start, now)
         started = encode_call_start(start)
-        self.parts.note_start(call_id, started.server, service, prompt)
+        self.parts.note_start(call_id, started.server, request.service, prompt)
         self.limits.note_call(choice.instance.instance_id)
         self._exchange.call_events.announce_start(started)
         return Placement(
@@ -210,6 +303,8 @@
             choice.cache_source,
             now,
             selection.counts(),
+            urgency,
+            forecast_seconds,
         )
 
     def seconds_until_usable(
@@ -253,6 +348,8 @@
             instance_id, placement.call_id, now, seconds
         )
         self.parts.note_head(placement.call_id)
+        if self._admission is not None:
+            self._admission.note_response_start(placement, now)
         self.limits.note_answer(instance_id, call_rate_limit, seconds)
         self._exchange.call_events.announce_first_event(
             CallHeard(
@@ -281,6 +378,10 @@
         """Record how a send ended, and tell the other hosts."""
         instance_id = placement.instance.instance_id
         self._loads.end(instance_id, placement.call_id)
+        if self._admission is not None:
+            self._admission.note_end(
+                placement, outcome.result, self._clock.monotonic()
+            )
         self._record_result(instance_id, outcome.result, self._host)
         self.parts.note_end(placement.call_id, outcome)
         self._exchange.call_events.announce_end(
@@ -312,23 +413,6 @@
             self._exchange.state(stream).age_ms(now) for stream in STREAMS
         )
 
-    def _without_departures(
-        self, selection: Selection, route: Route, prompt: Prompt, now: float
-    ) -> Selection:
-        """Leave out servers that a stream would outlast."""
-        if route.kind is not RouteKind.stream:
-            return selection
-        lasting = self.server_records.departures.lasting(
-            selection.instances,
-            lambda instance: self._loads.load_of(
-                instance.instance_id
-            ).stream_seconds(prompt, now),
-            now,
-        )
-        left_out = Counter(selection.left_out)
-        left_out[Obstacle.departure] += len(selection.instances) - len(lasting)
-        return Selection(lasting, +left_out)
-
     def _service_names(self) -> tuple[str, ...]:
         routes = self._routes
         return () if routes is None else tuple(routes.document.services)
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -12,9 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from burdockledge.admission import LoadRefusal
     from burdockledge.calls import Prompt, Route, ServerInstance
     from burdockledge.quarantine import Verdict
     from burdockledge.relay._routes import RouteIndex
+    from burdockledge.relay._served_call import ServedCall
     from burdockledge.scheduling import ServerNotice
 
 
@@ -29,7 +31,9 @@
     how many calls it had before. The server fetches cached parts of the
     prompt from ``cache_source``, if any. ``placed_at`` is in seconds of the
     monotonic clock. ``left_out`` is how many servers were left out, by the
-    names of what kept them from the call.
+    names of what kept them from the call. ``urgency`` is sent to the server
+    in place of that of the call, unless None. ``forecast_seconds`` is the
+    expected time to the first event, 0 if it was not needed.
     """
 
     call_id: int
@@ -40,6 +44,8 @@
     cache_source: ServerInstance | None = None
     placed_at: float = 0.0
     left_out: Mapping[str, int] = field(default_factory=dict)
+    urgency: int | None = None
+    forecast_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -63,6 +69,11 @@
     It chooses the servers of calls and records the results of their sends.
     """
 
+    @property
+    def sheds_load(self) -> bool:
+        """Whether calls may be refused for lack of room."""
+        return False
+
     @abstractmethod
     def routes(self) -> RouteIndex | None:
         """Return the routes of the newest configuration, None before one."""
@@ -100,6 +111,26 @@
         :return: None if no server is left to try.
         """
 
+    def place_or_refuse(
+        self, served: ServedCall
+    ) -> Placement | LoadRefusal | None:
+        """
+        Place a call if there is room for it.
+
+        A call is refused only before its first send.
+        """
+        return self.place(
+            served.service,
+            served.route,
+            served.urgency,
+            served.call.prompt,
+            frozenset(served.tried_instance_ids),
+        )
+
+    @abstractmethod
+    def note_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
+        """Record that the caller is told to come back."""
+
     @abstractmethod
     def seconds_until_usable(
         self, service: str, tried_instance_ids: frozenset[str]
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -9,6 +9,7 @@
 from burdockledge.relay._event_buffer import EventBuffer
 
 if TYPE_CHECKING:
+    from burdockledge.admission import AdmissionCall
     from burdockledge.calls import ForwardedCall, Route, Team
     from burdockledge.relay._ports import CallerPort
 
@@ -27,8 +28,9 @@
     admitted the call. ``tried_instance_ids`` holds the instances to
     which it was sent. ``sends`` counts all sends, ``runs`` those after which
     the call may have run. ``has_retry``: the retry budget has
-    granted the next send. ``is_counted``: it counts in the usage of its
-    team. ``cut_cause`` is why the answer is incomplete, if it
+    granted the next send. ``admission`` is asked for room before the first
+    send, None if that was not yet needed. ``is_counted``: it counts in the
+    usage of its team. ``cut_cause`` is why the answer is incomplete, if it
     ends now. ``media_type`` is that of a stream that began.
     ``first_event_seconds`` is the time from arrival
     to the first write of events, ``longest_pause_seconds`` the longest time
@@ -48,6 +50,7 @@
     runs: int = 0
     may_have_run: bool = False
     has_retry: bool = False
+    admission: AdmissionCall | None = None
     is_counted: bool = False
     has_response_started: bool = False
     cut_cause: CutCause = CutCause.server_broke
@@ -68,6 +71,15 @@
             _LOWEST_URGENCY,
         )
 
+    @property
+    def lowered_urgency(self) -> int:
+        """The priority one step lower, within the tier of the team."""
+        if self.urgency % _ROUTE_TIERS_PER_TEAM_TIER == (
+            _ROUTE_TIERS_PER_TEAM_TIER - 1
+        ):
+            return self.urgency
+        return min(self.urgency + 1, _LOWEST_URGENCY)
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the call may run more than once."""
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -12,11 +12,15 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from burdockledge.calls import ServerInstance
     from burdockledge.registry import ServerRegistry
-    from burdockledge.scheduling import ServerNotice, ServerRateLimits
+    from burdockledge.scheduling import (
+        ServerDepartures,
+        ServerNotice,
+        ServerRateLimits,
+    )
 
 _log = make_logger('servers')
 
@@ -46,6 +50,22 @@
             obstacle.name: count for obstacle, count in self.left_out.items()
         }
 
+    def lasting(
+        self,
+        departures: ServerDepartures,
+        seconds_at: Callable[[ServerInstance], float],
+        now: float,
+    ) -> Selection:
+        """
+        Leave out servers that a stream would outlast.
+
+        :param seconds_at: returns how long the stream takes at a server.
+        """
+        lasting = departures.lasting(self.instances, seconds_at, now)
+        left_out = Counter(self.left_out)
+        left_out[Obstacle.departure] += len(self.instances) - len(lasting)
+        return Selection(lasting, +left_out)
+
 
 class ServerGate:
     """
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -235,6 +235,14 @@
             self.end(oldest)
         return len(self._running)
 
+    def pending_calls(self, urgency: int) -> int:
+        """Return the calls without a first event that are as urgent."""
+        return sum(
+            1
+            for pending in self._pending.values()
+            if pending.urgency <= urgency
+        )
+
     def backlog_seconds(self, urgency: int | None, now: float) -> float:
         """
         Return the estimated time until pending prompts are prefilled.
--- a/src/burdockledge/scheduling/_placement.py
+++ b/src/burdockledge/scheduling/_placement.py
@@ -19,10 +19,12 @@
 
     With ``weighs_pressure``, what a prompt adds to the pauses of streams is
     learnt by its size, and slots, memory and the doubt about cached prompts
-    count. Without it, these are neither learnt nor weighed.
+    count. Without it, these are neither learnt nor weighed. With
+    ``sheds_load``, calls may be refused for lack of room.
     """
 
     weighs_pressure: bool = False
+    sheds_load: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/calls/test_package_order.py
+++ b/tests/calls/test_package_order.py
@@ -26,6 +26,7 @@
     'registry',
     'quarantine',
     'scheduling',
+    'admission',
     'replication',
     'relay',
 )
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from burdockledge.admission import LoadRefusal
 from burdockledge.calls import (
     CallerLimits,
     ForwardedCall,
@@ -36,6 +37,7 @@
     ServerClient,
     ServerResponse,
 )
+from burdockledge.relay._served_call import ServedCall
 from burdockledge.scheduling import CallResult, ServerNotice
 from burdockledge.telemetry import Metrics
 
@@ -206,6 +208,9 @@
         """Return what the test gives."""
         return self.room_seconds
 
+    def note_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
+        """Do nothing."""
+
     def retry_after_seconds(self, service: str) -> float:
         """Return a fixed time."""
         return 2.5
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -46,7 +46,7 @@
     ServerResponse,
 )
 from burdockledge.replication import GossipExchange, Peer
-from burdockledge.scheduling import ServerNotice
+from burdockledge.scheduling import PlacementOptions, ServerNotice
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import StreamEntry, StreamUpdate
 from tests.relay.fakes import FakeCaller, FakeResponse, events
@@ -307,7 +307,7 @@
         self.state = ReplicatedRoutingState(
             name, fleet.peer(name).data_centre, _Decoder(fleet),
             ServerRegistry(), self.exchange, RetryBudgetSettings(0.2, 58, 10),
-            clock, random,
+            clock, random, fleet.options,
         )  # fmt: skip
         self.relay = Relay(
             self.state, _EngineClient(fleet, name), clock, random, self.metrics
@@ -335,6 +335,8 @@
             wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
         )
         self.loop = VirtualTimeLoop()
+        # How hosts that start from now on choose servers.
+        self.options = PlacementOptions()
         self.random = Random(seed)
         self.network = FakeNetwork()
         self.network.loss_probability = loss_probability
