End a host process before its grace time is over

On slow half cores and hosts that freeze, some processes were still there when the platform killed them: each step after the drain had no limit, the margin was fixed, and frozen time did not count.

The stop has a plan whose margins grow with the lag of timers and whose clock counts frozen time. Calls in flight are answered before a drain that ends earlier. A service whose stop hangs or fails no longer holds up the others, and a thread ends the process at the deadline and logs what was open. In calm the margins are as before. Running the process moves to host_process.py, as host.py had too many imports.

--- a/src/burdockledge/cli/_host.py
+++ b/src/burdockledge/cli/_host.py
@@ -15,7 +15,7 @@
     print_error,
     run_async,
 )
-from burdockledge.host import serve_host
+from burdockledge.host_process import serve_host
 from burdockledge.peers import PeerKeys, PeerKeysError
 from burdockledge.platform import load_host_settings
 from burdockledge.settings import (
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import signal
+import contextlib
 from dataclasses import replace
 from functools import partial
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Final
 
-import aiohttp
-
 from burdockledge import host_values
 from burdockledge.clock import SystemClock
 from burdockledge.directory import Directory
@@ -21,8 +19,7 @@
     register_servers,
     show_limit,
 )
-from burdockledge.http_client import READ_BYTES, BoundedConnector
-from burdockledge.kernel import Kernel, on_stop_signal
+from burdockledge.kernel import Kernel
 from burdockledge.membership import Membership, UdpSocket
 from burdockledge.peers import PeerKeys
 from burdockledge.platform import (
@@ -45,7 +42,7 @@
     StoreReader,
 )
 from burdockledge.scheduling import PlacementOptions
-from burdockledge.settings_watcher import SettingsWatcher
+from burdockledge.stop_plan import StopPlan
 from burdockledge.telemetry import (
     Metrics,
     TimeLine,
@@ -54,7 +51,7 @@
 from burdockledge.wire import MemberStatus, MemberUpdate
 
 if TYPE_CHECKING:
-    from pathlib import Path
+    import aiohttp
 
     from burdockledge.kernel import TaskGroupService
     from burdockledge.quarantine import QuarantineEvent
@@ -66,12 +63,14 @@
 # A stopping host serves at least this long, so that callers can refresh cached
 # directory responses that still list it.
 _MIN_DRAIN_SECONDS: Final = 3.0
-# Time left for closing connections before the platform sends SIGKILL.
-_KILL_MARGIN_SECONDS: Final = 0.6
 # Calls in flight get at least this long while the connections close.
 _MIN_SHUTDOWN_SECONDS: Final = 0.2
 _DRAIN_IDLE_SECONDS: Final = 0.5
 _DRAIN_POLL_SECONDS: Final = 0.1
+# A timer that is this late was held up by more than other calls.
+_LATE_SECONDS: Final = 0.05
+# The end of the process takes this much of the time until the exit guard.
+_CLOSE_SECONDS: Final = 0.05
 _MAX_TIME_LINE_EVENTS: Final = 1000
 # Settings that are only read at the start; a change needs a restart.
 _RESTART_SETTINGS: Final = (
@@ -174,6 +173,7 @@
             PartEndpoint(self.routing_state.parts, keys),
         )
         self.clock = clock
+        self.stop_plan: StopPlan | None = None
         self._connect_components()
         self.usage_gossip = make_usage_gossip(self, random)
         self.duty_holder = make_duty_holder(self, session, random)
@@ -212,31 +212,61 @@
             self.duty_holder.release_soon()
         self.front.is_closing = True
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        max_drain_seconds = self.settings.grace_seconds - _KILL_MARGIN_SECONDS
+        plan = self.begin_stop()
+        max_drain_seconds = plan.seconds_until(plan.drain_ends_at)
         self.relay.plan_stop(max_drain_seconds)
         min_drain_seconds = min(_MIN_DRAIN_SECONDS, max_drain_seconds)
-        last_busy_at = started_at
-        while loop.time() - started_at < max_drain_seconds:
+        last_busy_at = loop.time()
+        while plan.seconds_until(plan.drain_ends_at) > 0:
             if self.relay.in_flight:
                 last_busy_at = loop.time()
-            is_min_drain_over = loop.time() - started_at >= min_drain_seconds
             if (
-                is_min_drain_over
+                plan.elapsed_seconds() >= min_drain_seconds
                 and loop.time() - last_busy_at >= _DRAIN_IDLE_SECONDS
             ):
                 break
-            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+            await self._poll_drain(plan)
         # Calls that arrive between here and the close are answered, too.
         self.front.shutdown_seconds = max(
-            _MIN_SHUTDOWN_SECONDS,
-            max_drain_seconds - (loop.time() - started_at),
+            _MIN_SHUTDOWN_SECONDS, plan.seconds_until(plan.drain_ends_at)
         )
 
     async def stop(self) -> None:
-        """Stop every service."""
-        await self.kernel.stop()
-        await self.server_client.close()
+        """
+        Stop every service before the grace time is over.
+
+        A step that takes too long is left behind.
+        """
+        plan = self.begin_stop()
+        await self.kernel.stop_within(
+            plan.seconds_until(plan.exits_at) - _CLOSE_SECONDS
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                max(0.0, plan.seconds_until(plan.exits_at))
+            ):
+                await self.server_client.close()
+
+    def open_at_exit(self) -> dict[str, object]:
+        """Return what has not ended, for the log."""
+        return {
+            'services': self.kernel.running(),
+            'in_flight': self.relay.in_flight,
+        }
+
+    def begin_stop(self) -> StopPlan:
+        """Return the plan of the stop, which begins with the first call."""
+        if self.stop_plan is None:
+            self.stop_plan = StopPlan(self.clock, self.settings.grace_seconds)
+        return self.stop_plan
+
+    async def _poll_drain(self, plan: StopPlan) -> None:
+        polled_at = self.clock.monotonic()
+        await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        lag = self.clock.monotonic() - polled_at - _DRAIN_POLL_SECONDS
+        plan.note_lag(lag)
+        if lag > _LATE_SECONDS:
+            self.relay.plan_stop(plan.seconds_until(plan.drain_ends_at))
 
     def apply_settings(self, settings: RelayHostSettings) -> None:
         """Apply reloaded settings except those that need a restart."""
@@ -353,43 +383,4 @@
             _log.info('Ready.', version=routes.document.version)
 
 
-async def serve_host(
-    settings: RelayHostSettings,
-    settings_path: Path,
-    settings_modified_ns: int,
-    keys: PeerKeys,
-) -> None:
-    """
-    Run an entry host until SIGTERM or SIGINT, and reload changed settings.
-
-    :param settings_path: the file that is watched for changes.
-    :param settings_modified_ns: the modification time of that file when
-        ``settings`` were read from it.
-    """
-    async with aiohttp.ClientSession(
-        connector=BoundedConnector(), read_bufsize=READ_BYTES
-    ) as session:
-        host = RelayHost(settings, keys, session)
-        watcher = SettingsWatcher(
-            settings_path, settings_modified_ns, host.apply_settings
-        )
-        host.kernel.register(watcher)
-        asyncio.get_running_loop().add_signal_handler(
-            signal.SIGHUP, watcher.reload_requested.set
-        )
-        await _run(host)
-
-
-async def _run(host: RelayHost) -> None:
-    stop_requested = asyncio.Event()
-    on_stop_signal(stop_requested.set)
-    await host.start()
-    _log.info('Started.', data_centre=host.settings.data_centre)
-    await stop_requested.wait()
-    _log.info('Stopping.', in_flight=host.relay.in_flight)
-    await host.drain()
-    await host.stop()
-    _log.info('Stopped.', in_flight=host.relay.in_flight)
-
-
-__all__ = ('RelayHost', 'serve_host')
+__all__ = ('RelayHost',)
--- a/src/burdockledge/kernel/__init__.py
+++ b/src/burdockledge/kernel/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from burdockledge.kernel._exit_guard import ExitGuard
 from burdockledge.kernel._kernel import Kernel
 from burdockledge.kernel._service import Service
 from burdockledge.kernel._signals import on_stop_signal
@@ -14,6 +15,7 @@
 __all__ = (
     'MAX_RESTART_SECONDS',
     'MIN_RESTART_SECONDS',
+    'ExitGuard',
     'Kernel',
     'Service',
     'TaskGroupService',
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -183,7 +183,12 @@
         for server, _ in self._listeners:
             # Closes idle connections, which shutdown() would wait for in vain.
             server.pre_shutdown()
-            await server.shutdown(_MIN_SHUTDOWN_SECONDS)
+        await asyncio.gather(
+            *(
+                server.shutdown(_MIN_SHUTDOWN_SECONDS)
+                for server, _ in self._listeners
+            )
+        )
 
     async def _open_listener(self, server: Server, address: str) -> None:
         ip, _, port = address.rpartition(':')
--- a/src/burdockledge/relay/_planned_stop.py
+++ b/src/burdockledge/relay/_planned_stop.py
@@ -43,15 +43,20 @@
         return self._clock.monotonic() >= self._exits_at
 
     def plan(self, delay_seconds: float) -> None:
-        """Plan the exit after a delay; an earlier plan stays."""
-        if self._exits_at < math.inf:
-            return
+        """
+        Plan the exit after a delay.
+
+        A later call can only bring the exit forward. It also corrects the
+        time limits of calls for the time in which the machine was frozen.
+        """
         delay_seconds = max(0.0, delay_seconds)
         now = self._clock.monotonic()
-        self._exits_at = now + delay_seconds
-        self._refuse_from = now + min(
-            _DIRECTORY_DELAY_SECONDS, _MAX_DELAY_SHARE * delay_seconds
-        )
+        if self._exits_at == math.inf:
+            self._refuse_from = now + min(
+                _DIRECTORY_DELAY_SECONDS, _MAX_DELAY_SHARE * delay_seconds
+            )
+        self._exits_at = min(self._exits_at, now + delay_seconds)
+        delay_seconds = max(0.0, self._exits_at - now)
         latest = asyncio.get_running_loop().time() + delay_seconds
         for limit in self._time_limits:
             if not limit.expired():
