--- a/src/burdockledge/host_values.py
+++ b/src/burdockledge/host_values.py
@@ -33,7 +33,9 @@
 
 def placement_options(settings: RelayHostSettings) -> PlacementOptions:
     """Return what the choice of a server takes into account."""
-    return PlacementOptions(weighs_pressure=settings.sheds_load)
+    return PlacementOptions(
+        weighs_pressure=settings.sheds_load, sheds_load=settings.sheds_load
+    )
 
 
 def read_period_seconds(settings: RelayHostSettings) -> float:
