Add a reserve of spot servers before traffic

All spot servers of a data centre are reclaimed at once, and none may be available for 10 s. So the sizes before traffic grow until the present total is left without the largest data centre (15 + 15 + 15 becomes 23 + 23 + 23), within the maximum. There is no reserve for a single data centre, with a spot price over a third, from records, or if traffic runs already.

--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.autoscaling._mix import Substitution, mix_kinds
@@ -32,17 +33,22 @@
     """
     Plans the servers of a service from one time to the next.
 
-    Before traffic the data centres keep their sizes, and only the kinds
-    change. Times are in seconds of the monotonic clock.
+    Before traffic the data centres keep the sizes that they start with, and
+    only the kinds change. Times are in seconds of the monotonic clock.
     """
 
-    def __init__(self, sizes: Mapping[str, int], now: float) -> None:
+    def __init__(
+        self, sizes: Mapping[str, int], now: float, kept: int = 0
+    ) -> None:
         """
         Start a plan.
 
-        :param sizes: the present servers by data centre, both kinds together.
+        :param sizes: the servers by data centre, both kinds together.
+        :param kept: how many servers of the service stay registered before
+            traffic while kinds are exchanged.
         """
         self._sizes = dict(sizes)
+        self._kept = kept
         self._keeper = SizeKeeper(sum(sizes.values()), now)
         self._added_at = now - _AFTER_ADDITION_SECONDS
         self._unneeded_since: dict[Pool, float] = {}
@@ -72,7 +78,7 @@
             bounds = Bounds(
                 autoscale.min_servers,
                 highest,
-                self._carrying(name, view),
+                self._carrying(name, view, wanted),
                 self._removable(name, view, now),
             )
             counts |= next_counts(name, wanted, dict(states), bounds)
@@ -108,15 +114,44 @@
             )
         return why
 
-    def _carrying(self, data_centre: str, view: ServiceView) -> int:
+    def _carrying(
+        self, data_centre: str, view: ServiceView, wanted: Mapping[Pool, int]
+    ) -> int:
         """Return the servers that a data centre needs at the moment."""
         demand = view.demand
         if demand.traffic_seconds is None:
-            return 0
+            return self._carrying_before_traffic(data_centre, view, wanted)
         total = max(1, sum(self._sizes.values()))
         share = self._sizes[data_centre] / total
         return math.ceil(share * _largest_need(demand))
 
+    def _carrying_before_traffic(
+        self, data_centre: str, view: ServiceView, wanted: Mapping[Pool, int]
+    ) -> int:
+        """
+        Return the servers of a data centre that stay before traffic.
+
+        What is registered beyond the kept total is shared between the data
+        centres with surplus normal servers, which may remove them at once.
+        """
+        ready: Counter[str] = Counter()
+        for pool, count in view.ready.items():
+            ready[pool.data_centre] += count
+        exchanging = [
+            pool.data_centre
+            for pool in sorted(wanted, key=lambda pool: pool.data_centre)
+            if pool.kind is ServerKind.normal
+            and view.ready.get(pool, 0) > wanted[pool]
+        ]
+        if not self._kept or data_centre not in exchanging:
+            return 0
+        registered = sum(
+            min(ready[name], size) for name, size in self._sizes.items()
+        )
+        spare, rest = divmod(max(0, registered - self._kept), len(exchanging))
+        is_served_first = exchanging.index(data_centre) < rest
+        return ready[data_centre] - spare - is_served_first
+
     def _note_unneeded(
         self,
         wanted: Mapping[Pool, int],
--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -8,7 +8,10 @@
 from burdockledge.autoscaling._order_book import OrderBook
 from burdockledge.autoscaling._planner import ServicePlanner
 from burdockledge.autoscaling._records import OrderRecord
-from burdockledge.autoscaling._sizing import with_reclaim_reserve
+from burdockledge.autoscaling._sizing import (
+    left_by_reclaim,
+    with_reclaim_reserve,
+)
 from burdockledge.autoscaling._types import Plan, Pool, PoolState, ServerKind
 from burdockledge.duties import CallOutcome
 
@@ -18,6 +21,9 @@
 # played day, and the other 6 were taken for surplus.
 _SETTLED_SECONDS: Final = 2.6
 _MAX_SETTLING_SECONDS: Final = 8.0
+# At this price, spot servers of half as many again as before still cost half
+# of the normal servers that they replace.
+_MAX_RESERVE_PRICE: Final = 1 / 3
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -72,9 +78,7 @@
         """Return the plan for now, of a service without a fault."""
         data_centres = frozenset(view.autoscale.prices)
         if self._planner is None or self._planned != data_centres:
-            self._planner = ServicePlanner(
-                self._first_sizes(data_centres, view), now
-            )
+            self._planner = self._new_planner(data_centres, view, now)
             self._planned = data_centres
         return self._planner.plan(view, self._states(view, now), now)
 
@@ -128,13 +132,28 @@
         if is_standing and count > before.ordered and self._planner:
             self._planner.note_addition(sent_at)
 
-    def _first_sizes(
-        self, data_centres: frozenset[str], view: ServiceView
-    ) -> dict[str, int]:
-        sizes = {name: self._first_size(name, view) for name in data_centres}
-        if self._recorded or view.demand.traffic_seconds is not None:
-            return sizes
-        return with_reclaim_reserve(sizes, view.autoscale.max_servers)
+    def _new_planner(
+        self, data_centres: frozenset[str], view: ServiceView, now: float
+    ) -> ServicePlanner:
+        """Return a planner that starts with a reserve before traffic."""
+        sizes = {
+            name: self._first_size(name, view) for name in sorted(data_centres)
+        }
+        spot_price = view.autoscale.spot_price
+        if (
+            view.demand.traffic_seconds is not None
+            or spot_price is None
+            or spot_price > _MAX_RESERVE_PRICE
+        ):
+            return ServicePlanner(sizes, now)
+        if self._recorded:
+            # The sizes contain the reserve of an earlier holder.
+            return ServicePlanner(sizes, now, left_by_reclaim(sizes))
+        enlarged = with_reclaim_reserve(sizes, view.autoscale.max_servers)
+        has_reserve = enlarged != sizes
+        return ServicePlanner(
+            enlarged, now, sum(sizes.values()) if has_reserve else 0
+        )
 
     def _first_size(self, data_centre: str, view: ServiceView) -> int:
         """Return the size that was planned before, else the present one."""
--- a/src/burdockledge/autoscaling/_sizing.py
+++ b/src/burdockledge/autoscaling/_sizing.py
@@ -132,6 +132,11 @@
     }
 
 
+def left_by_reclaim(sizes: Mapping[str, int]) -> int:
+    """Return the servers that are left without the largest data centre."""
+    return sum(sizes.values()) - max(sizes.values(), default=0)
+
+
 def with_reclaim_reserve(
     sizes: Mapping[str, int], highest: int
 ) -> dict[str, int]:
@@ -143,7 +148,7 @@
     would be lost as well.
     """
     total = sum(sizes.values())
-    left = total - max(sizes.values(), default=0)
+    left = left_by_reclaim(sizes)
     if not left:
         return dict(sizes)
     return {
@@ -195,6 +200,7 @@
     'SizeKeeper',
     'distribute',
     'least_size',
+    'left_by_reclaim',
     'needed_servers',
     'price_shares',
     'with_reclaim_reserve',
