Remove no servers just after a reclaimed data centre is ordered again

Only a count over the one before counted as an addition. The count of reclaimed servers stays the same as they are ordered again, so the other data centres lost servers 3 s after that order, before its servers had booted.

The new test failed first: removals at 29 s instead of 34 s. Checked by: pytest tests/autoscaling (83 passed); ruff, flake8 and mypy clean.

--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -129,7 +129,9 @@
             pool, before, count, outcome, sent_at, view.autoscale.boot_seconds
         )
         is_standing = outcome in {CallOutcome.accepted, CallOutcome.unknown}
-        if is_standing and count > before.ordered and self._planner:
+        # Reclaimed servers that are ordered again are an addition, too.
+        present = min(before.ready, before.ordered)
+        if is_standing and count > present and self._planner:
             self._planner.note_addition(sent_at)
 
     def _new_planner(
