Order no servers elsewhere that the demand does not need

After a reclaim with 46 of 69 servers left and a need of 29, the other data centres were asked for 39 and 29 spot servers, again every 5 s while none were available. They now make up for what was needed in the last 20 s, and in the first seconds for all servers but the reserve.

The three new tests failed first: requests to all data centres, and one server more than needed.

--- a/src/burdockledge/autoscaling/_mix.py
+++ b/src/burdockledge/autoscaling/_mix.py
@@ -70,16 +70,22 @@
         self._by_price = sorted(prices, key=lambda name: prices[name])
         self._highest = highest
 
-    def apply(self, demand: Demand) -> None:
+    def apply(self, demand: Demand, most: int) -> None:
         """
         Want spot servers elsewhere, then normal ones up to a bound.
 
         The count of an unavailable pool stays wanted, for later. Before
         traffic nothing is replaced, as no server is needed yet.
+
+        :param most: the servers in all up to which others are wanted.
         """
         if demand.traffic_seconds is None:
             return
-        missing = sum(self._missing(name) for name in self._by_price)
+        available = sum(self._available(pool) for pool in self.wanted)
+        missing = min(
+            sum(self._missing(name) for name in self._by_price),
+            most - available,
+        )
         if self._add(ServerKind.spot, missing):
             needed = math.ceil(demand.mean / _SUBSTITUTE_UTILISATION)
             available = sum(self._available(pool) for pool in self.wanted)
--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -9,6 +9,7 @@
 from burdockledge.autoscaling._mix import Substitution, mix_kinds
 from burdockledge.autoscaling._sizing import (
     RECLAIM_UTILISATION,
+    SETTLING_SECONDS,
     SizeKeeper,
     distribute,
     least_size,
@@ -70,7 +71,7 @@
             autoscale.prices,
             highest,
         )
-        substitution.apply(view.demand)
+        substitution.apply(view.demand, self._needed(view.demand))
         wanted = substitution.wanted
         self._note_unneeded(wanted, states, now)
         counts: dict[Pool, int] = {}
@@ -114,6 +115,18 @@
             )
         return why
 
+    def _needed(self, demand: Demand) -> int:
+        """
+        Return the servers that are replaced elsewhere after a reclaim.
+
+        The first seconds do not show the need, so all servers but the reserve
+        count as needed.
+        """
+        traffic_seconds = demand.traffic_seconds or 0
+        if traffic_seconds >= SETTLING_SECONDS:
+            return self._keeper.needed
+        return max(self._keeper.needed, self._kept or self._keeper.size)
+
     def _carrying(
         self, data_centre: str, view: ServiceView, wanted: Mapping[Pool, int]
     ) -> int:
--- a/src/burdockledge/autoscaling/_sizing.py
+++ b/src/burdockledge/autoscaling/_sizing.py
@@ -34,7 +34,7 @@
 _MAX_GROWTH: Final = 2
 # The first 8 s of traffic say nothing of the servers that are needed later, and
 # what was not needed must be known for 20 s.
-_SETTLING_SECONDS: Final = 28.0
+SETTLING_SECONDS: Final = 28.0
 # The cost of a data centre counts moderately: bytes between data centres are
 # billed, too.
 _PRICE_EXPONENT: Final = -0.5
@@ -84,6 +84,11 @@
         """Note that servers were ordered; none are removed for a while."""
         self._grown_at = now
 
+    @property
+    def needed(self) -> int:
+        """The most servers that were needed lately, 0 before any demand."""
+        return math.ceil(max((need for _, need in self._needs), default=0))
+
     def update(
         self, need: float, traffic_seconds: float, present: int, now: float
     ) -> int:
@@ -100,7 +105,7 @@
         if need > self.size:
             self.size = math.ceil(need)
             self._grown_at = now
-        elif traffic_seconds >= _SETTLING_SECONDS and self._may_shrink(now):
+        elif traffic_seconds >= SETTLING_SECONDS and self._may_shrink(now):
             self._shrink(now)
         return self.size
 
@@ -112,7 +117,7 @@
         )
 
     def _shrink(self, now: float) -> None:
-        needed = math.ceil(max(need for _, need in self._needs))
+        needed = self.needed
         step = max(_MIN_SHRINK_SERVERS, math.ceil(_MIN_SHRINK * self.size))
         if needed > self.size - step:
             return
@@ -197,6 +202,7 @@
 
 __all__ = (
     'RECLAIM_UTILISATION',
+    'SETTLING_SECONDS',
     'SizeKeeper',
     'distribute',
     'least_size',
--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -70,6 +70,8 @@
         }
         self.orders: list[Order] = []
         self.unavailable_until: dict[ServerKind, float] = {}
+        # Data centres without any spot servers to order.
+        self.unavailable_in: set[str] = set()
         # The outcome of all orders instead of the true one.
         self.outcome: CallOutcome | None = None
         self.is_carried_out = True
@@ -116,7 +118,10 @@
         present = self._ready_at.get(pool, [])
         outcome = self.outcome or CallOutcome.accepted
         is_addition = count > len(present)
-        if is_addition and now < self.unavailable_until.get(kind, 0):
+        is_available = now >= self.unavailable_until.get(kind, 0) and not (
+            is_reclaimable and data_centre in self.unavailable_in
+        )
+        if is_addition and not is_available:
             outcome = CallOutcome.unavailable
         self.orders.append(Order(now, pool, count, outcome))
         lease.note_outcome(outcome)
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -10,6 +10,7 @@
     Order,
     Scene,
     even_fleet,
+    normal,
     spot,
 )
 
@@ -55,3 +56,52 @@
     ]
     # Eight seconds without removals after an addition.
     assert min(removed_at) == accepted_at + 8
+
+
+def test_nothing_is_ordered_elsewhere_that_the_mean_does_not_need() -> None:
+    """Guards against requests for servers that nothing needs."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    reclaimed_at = scene.now
+    # 46 of 69 are left, and the mean needs 29.
+    orders = reclaim(scene, 'a', 10)
+    refused = [
+        (order.at - reclaimed_at, order.pool)
+        for order in orders
+        if order.outcome.name == 'unavailable'
+    ]
+    assert refused == [(0, spot('a')), (5, spot('a'))]
+    assert scene.platform.ready()[spot('a')] >= 15
+
+
+def test_a_reserve_is_not_made_up_for_in_the_first_seconds() -> None:
+    """Guards against a second reserve while the demand is not yet known."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 10
+    scene.platform.reclaim('a')
+    before = len(scene.platform.orders)
+    play_traffic(scene, 10, 9)
+    assert {order.pool for order in scene.platform.orders[before:]} == {
+        spot('a')
+    }
+
+
+def test_what_the_mean_needs_is_ordered_elsewhere() -> None:
+    """Guards against callers without servers after a reclaim."""
+    fleet = {spot('a'): 10, spot('b'): 9, spot('c'): 10, normal('b'): 1}
+    scene = Scene(fleet)
+    scene.fleet.demand = MEAN_DEMAND
+    scene.play(16)
+    before = len(scene.platform.orders)
+    scene.platform.reclaim('a')
+    scene.platform.unavailable_in.add('a')
+    play_traffic(scene, 40, 8)
+    # The mean at a utilisation of 0.45: 29 servers, of which 20 are left.
+    assert scene.totals() == {'a': 0, 'b': 19, 'c': 10}
+    asked = [
+        order.at
+        for order in scene.platform.orders[before:]
+        if order.pool == spot('a')
+    ]
+    assert asked == [16, 21]
