Keep the present servers for callers that come during the exchange of kinds

With no room for spot servers, half of the normal servers left before others replaced them, as no server counted as needed before the first 8 s of traffic had passed: 22 or 25 of 45 were left. In the first 28 s of traffic all servers but the reserve now count as needed.

The new test failed first in 13 of 28 cases.

--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -133,18 +133,26 @@
         """Return the servers that a data centre needs at the moment."""
         demand = view.demand
         if demand.traffic_seconds is None:
-            return self._carrying_before_traffic(data_centre, view, wanted)
+            return self._staying(data_centre, view, wanted, self._kept)
+        if demand.traffic_seconds < SETTLING_SECONDS:
+            # The first seconds do not show the need.
+            size = self._needed(demand)
+            return self._staying(data_centre, view, wanted, size)
         total = max(1, sum(self._sizes.values()))
         share = self._sizes[data_centre] / total
         return math.ceil(share * _largest_need(demand))
 
-    def _carrying_before_traffic(
-        self, data_centre: str, view: ServiceView, wanted: Mapping[Pool, int]
+    def _staying(
+        self,
+        data_centre: str,
+        view: ServiceView,
+        wanted: Mapping[Pool, int],
+        total: int,
     ) -> int:
         """
-        Return the servers of a data centre that stay before traffic.
+        Return the servers of a data centre that stay, of a total.
 
-        What is registered beyond the kept total is shared between the data
+        What is registered beyond the total is shared between the data
         centres with surplus normal servers, which may remove them at once.
         """
         ready: Counter[str] = Counter()
@@ -156,12 +164,12 @@
             if pool.kind is ServerKind.normal
             and view.ready.get(pool, 0) > wanted[pool]
         ]
-        if not self._kept or data_centre not in exchanging:
+        if not total or data_centre not in exchanging:
             return 0
         registered = sum(
             min(ready[name], size) for name, size in self._sizes.items()
         )
-        spare, rest = divmod(max(0, registered - self._kept), len(exchanging))
+        spare, rest = divmod(max(0, registered - total), len(exchanging))
         is_served_first = exchanging.index(data_centre) < rest
         return ready[data_centre] - spare - is_served_first
 
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -4,8 +4,11 @@
 
 from dataclasses import replace
 
-from burdockledge.autoscaling import ServerKind
+import pytest
+
+from burdockledge.autoscaling import Demand, ServerKind
 from tests.autoscaling.platform import (
+    AUTOSCALE,
     MEAN_DEMAND,
     Order,
     Scene,
@@ -105,3 +108,24 @@
         if order.pool == spot('a')
     ]
     assert asked == [16, 21]
+
+
+@pytest.mark.parametrize('highest', [15, 16, 20, 40])
+@pytest.mark.parametrize('seconds', [0.5, 3, 3.5, 5, 8, 9.5, 14])
+def test_callers_that_come_early_find_the_present_servers(
+    highest: int, seconds: float
+) -> None:
+    """Guards against an exchange of kinds that callers pay for."""
+    scene = Scene(even_fleet())
+    scene.fleet.autoscale = replace(AUTOSCALE, max_servers=highest)
+    scene.play(seconds)
+    # Without a reserve, half of the normal servers may have left before.
+    scene.least_ready = sum(scene.totals().values())
+    expected = min(45, scene.least_ready)
+    for step in range(20):
+        # Nothing is known of the demand but the calls that run.
+        scene.fleet.demand = Demand(running=30, traffic_seconds=step / 2)
+        scene.play(0.5)
+    play_traffic(scene, 10, 17)
+    assert scene.least_ready >= expected
+    assert sum(scene.totals().values()) >= 45
