Read the recorded orders again for a service that returns

Seen: after `autoscale` of a service was removed and added again under one lease, orders added up to 8 servers in a data centre whose maximum is 6.

Cause: the records were decoded once per lease. A service that is planned anew went on from the counts that an earlier holder had left, without those that this holder has ordered since, whose servers may still boot.

Evidence: test_a_service_that_is_configured_again_stays_within_the_maximum failed with totals of 8, 7 and 8.

Change: decode the records whenever a service appears.

--- a/src/burdockledge/autoscaling/_orders.py
+++ b/src/burdockledge/autoscaling/_orders.py
@@ -77,17 +77,20 @@
         self._rate = OrderRate(calls_per_second, clock.monotonic())
         self._is_suspended = is_suspended
         self._services: dict[str, ServiceOrders] = {}
-        self._recorded: dict[str, dict[Pool, OrderRecord]] | None = None
+        self._recorded: dict[str, dict[Pool, OrderRecord]] = {}
         self._faults: dict[str, str] = {}
         self._suspended: dict[tuple[str, Pool], int] = {}
 
     async def run(self, lease: Lease) -> float:
         """Plan all services, and order what differs."""
-        if self._recorded is None:
-            self._recorded = decode_records(lease.records())
         now = self._clock.monotonic()
         views = self._fleet.views(now)
-        self._drop_others({view.service for view in views})
+        services = {view.service for view in views}
+        self._drop_others(services)
+        if not services <= self._services.keys():
+            # A service that was left out for a while goes on from the orders
+            # that this host has recorded meanwhile.
+            self._recorded = decode_records(lease.records())
         orders = [order for view in views for order in self._plan(view, now)]
         if self._is_suspended:
             self._log_suspended(orders)
@@ -104,7 +107,6 @@
     def forget(self) -> None:
         """Drop the orders, which the next holder may change."""
         self._drop_others(set())
-        self._recorded = None
         self._suspended.clear()
 
     def _drop_others(self, services: set[str]) -> None:
@@ -118,7 +120,7 @@
         """Return the orders of a service that are due, additions first."""
         service = self._services.get(view.service)
         if service is None:
-            recorded = (self._recorded or {}).get(view.service, {})
+            recorded = self._recorded.get(view.service, {})
             service = ServiceOrders(recorded, view.autoscale.boot_seconds, now)
             self._services[view.service] = service
         fault = service.fault(view)
--- a/tests/autoscaling/platform.py
+++ b/tests/autoscaling/platform.py
@@ -179,9 +179,12 @@
         self.autoscale = AUTOSCALE
         self.demand = Demand()
         self.is_current = True
+        self.is_configured = True
 
     def views(self, now: float) -> list[ServiceView]:
-        """Return the one service."""
+        """Return the one service, if it is configured for orders."""
+        if not self.is_configured:
+            return []
         return [
             ServiceView(
                 SERVICE,
--- a/tests/autoscaling/test_holders.py
+++ b/tests/autoscaling/test_holders.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import contextvars
+from dataclasses import replace
 from random import Random
 
-from burdockledge.autoscaling import ServerKind, ServerOrders
+from burdockledge.autoscaling import Demand, ServerKind, ServerOrders
 from burdockledge.clock import (
     SIMULATED_PROCESS,
     VirtualClock,
@@ -14,7 +15,15 @@
 )
 from burdockledge.duties import DutyHolder
 from burdockledge.telemetry import Metrics
-from tests.autoscaling.platform import FakeFleet, FakePlatform, even_fleet
+from tests.autoscaling.platform import (
+    AUTOSCALE,
+    FakeFleet,
+    FakePlatform,
+    Scene,
+    even_fleet,
+    normal,
+    spot,
+)
 from tests.duties.site import make_duty_settings
 from tests.duties.stand_ins import FakeStoreClient, FakeTopic
 
@@ -64,3 +73,24 @@
             await holder.stop()
 
     loop.run_until_complete(run())
+
+
+def test_a_service_that_is_configured_again_stays_within_the_maximum() -> None:
+    """
+    Guards against orders that forget what the same holder ordered before.
+
+    The records that it read as it claimed the duty lack these orders.
+    """
+    scene = Scene(even_fleet(2))
+    scene.fleet.autoscale = replace(AUTOSCALE, max_servers=6)
+    scene.play(14)
+    scene.fleet.demand = Demand(12, 12, 12, 12, 12, 30)
+    scene.play(1.5)
+    scene.fleet.is_configured = False
+    scene.play(1)
+    scene.fleet.is_configured = True
+    scene.fleet.demand = Demand(12, 1, 12, 12, 12, 30)
+    scene.play(3)
+    ordered = {order.pool: order.count for order in scene.platform.orders}
+    totals = [ordered[normal(name)] + ordered[spot(name)] for name in 'abc']
+    assert max(totals) == 6
