Count and report usage only after the clock is corrected

Seen: a host whose wall clock was 60 s ahead as its process started had none of its calls reported, and as the holder reported no window for a minute.

Cause: until notes of other hosts arrive, the true time is the own wall clock. Within that moment the counter closed all windows up to a future one, and the reporter set the next window to it; neither ever goes back.

Evidence: test_a_process_that_starts_with_a_wrong_clock_moves_no_window failed for a clock that is ahead, for the holder and for another host.

Change: nothing is counted, closed, asked or decided before two other hosts were heard from, or 3 s have passed. Calls of that time are dated afterwards.

--- a/src/burdockledge/usage/_fleet_clock.py
+++ b/src/burdockledge/usage/_fleet_clock.py
@@ -44,6 +44,11 @@
         self._median: float | None = None
         self._median_at = 0.0
 
+    @property
+    def host_count(self) -> int:
+        """The number of other hosts whose clocks are known."""
+        return len(self._differences)
+
     def note_host(self, host: str, wall_ms: int, now: float) -> None:
         """Learn the wall clock of another host from a note, just received."""
         difference = wall_ms / _MS_PER_SECOND - now
--- a/src/burdockledge/usage/_gossip.py
+++ b/src/burdockledge/usage/_gossip.py
@@ -32,6 +32,11 @@
 # two that were lost. Of 24 teams they need less than 1,200 bytes compressed.
 _MAX_WINDOWS: Final = 4
 _PROCESS_BITS: Final = 48
+# With the clocks of two other hosts, the median is right if any one is wrong.
+# Hosts usually hear from these within a second; one that is alone goes by its
+# own clock after the longer time.
+_CORRECTING_HOSTS: Final = 2
+_MAX_CORRECTION_SECONDS: Final = 3.0
 _FAREWELLS: Final = 3
 
 
@@ -64,6 +69,9 @@
         self._collector = UsageCollector(window_seconds)
         self._fleet_clock = FleetClock()
         self._started_at = clock.monotonic()
+        self._knows_time = False
+        # Calls of the time before, by team and monotonic time.
+        self._undated_runs: list[tuple[str, float]] = []
         self._asking_since: float | None = None
         self._holding_at: float | None = None
         # The host that was last known to report usage, and when.
@@ -91,7 +99,25 @@
 
     def note_run(self, team: str, at: float) -> None:
         """Count a call that a server began to run at a monotonic time."""
-        self._counter.count(team, self._true_time(at))
+        if self.knows_time():
+            self._counter.count(team, self._true_time(at))
+        else:
+            self._undated_runs.append((team, at))
+
+    def knows_time(self) -> bool:
+        """Return whether the clocks of other hosts have corrected the time."""
+        if self._knows_time:
+            return True
+        seconds = self._clock.monotonic() - self._started_at
+        self._knows_time = (
+            self._fleet_clock.host_count >= _CORRECTING_HOSTS
+            or seconds >= _MAX_CORRECTION_SECONDS
+        )
+        if self._knows_time:
+            for team, at in self._undated_runs:
+                self._counter.count(team, self._true_time(at))
+            self._undated_runs.clear()
+        return self._knows_time
 
     def now(self) -> float:
         """Return the true time."""
@@ -139,17 +165,22 @@
     async def _ask_forever(self) -> None:
         while True:
             self._note_era()
-            now = self._clock.monotonic()
-            if self._must_ask(now):
-                if self._asking_since is None:
-                    self._asking_since = now
-                self._ask(now)
-                await asyncio.sleep(_TICK_SECONDS)
-            else:
-                self._asking_since = None
-                self._counter.close(self.now())
-                self._collector.forget_old(self.now())
-                await asyncio.sleep(_IDLE_TICK_SECONDS)
+            pause_seconds = _TICK_SECONDS
+            if self.knows_time():
+                pause_seconds = self._ask_if_due(self._clock.monotonic())
+            await asyncio.sleep(pause_seconds)
+
+    def _ask_if_due(self, now: float) -> float:
+        """Ask the other hosts if this host has to; return the pause."""
+        if self._must_ask(now):
+            if self._asking_since is None:
+                self._asking_since = now
+            self._ask(now)
+            return _TICK_SECONDS
+        self._asking_since = None
+        self._counter.close(self.now())
+        self._collector.forget_old(self.now())
+        return _IDLE_TICK_SECONDS
 
     def _note_era(self) -> None:
         era = self.store_era()
@@ -234,6 +265,9 @@
 
     def _answer(self, address: str, first: int, *others: UsageTotals) -> None:
         """Send own totals from a window on, and those of other processes."""
+        if not self.knows_time():
+            # What is said to be final can't be corrected.
+            return
         closed_before = self._counter.close(self.now())
         oldest = closed_before - _MAX_WINDOWS + 1
         if first < oldest:
--- a/src/burdockledge/usage/_ports.py
+++ b/src/burdockledge/usage/_ports.py
@@ -20,6 +20,10 @@
     def now(self) -> float:
         """Return the time."""
 
+    @abstractmethod
+    def knows_time(self) -> bool:
+        """Return whether the clocks of other hosts have corrected the time."""
+
     @abstractmethod
     def started_at(self) -> float:
         """Return when this process started."""
--- a/src/burdockledge/usage/_reporter.py
+++ b/src/burdockledge/usage/_reporter.py
@@ -78,6 +78,10 @@
 
     async def run(self, lease: Lease) -> float:
         """Decide the windows that are due and send what is recorded."""
+        if not self._source.knows_time():
+            # With a wrong clock, windows far ahead would be taken for the
+            # present ones, and none before them be decided any more.
+            return _PENDING_RUN_SECONDS
         now = self._source.now()
         self._note_run(now)
         self._reports.adopt(lease.records(), now)
--- a/tests/usage/fleet.py
+++ b/tests/usage/fleet.py
@@ -167,6 +167,8 @@
         self.truth: dict[int, Counter[str]] = {}
         self.calls: list[tuple[str, float]] = []
         self.call_seconds = 0.013
+        # By how many ms the wall clocks of new processes are wrong.
+        self.clock_errors: dict[str, int] = {}
         self._random = Random(4)
         self._starts = 0
 
@@ -191,6 +193,7 @@
         process = f'{name}/{self._starts}'
         self.network.attach_process(name, process)
         clock = VirtualClock(self.loop)
+        clock.jump(self.clock_errors.get(name, 0))
         random = Random(process)
         exchange = GossipExchange(
             Peer(name, 'dc', name), ('s',),
