Leave out services whose names do not fit into a record

Cause: the store counts the bytes of a key in one byte, and names are quoted, which makes each byte of a character outside of ASCII three.

Evidence: test_a_long_name_keeps_back_no_other_service failed with this error.

Change: such a service is a fault of the configuration, with one log line.

--- a/src/burdockledge/autoscaling/_records.py
+++ b/src/burdockledge/autoscaling/_records.py
@@ -20,6 +20,8 @@
 
 _PREFIX: Final = 'orders'
 _KEY_PARTS: Final = 4
+# The store counts the bytes of a key in one byte.
+_MAX_KEY_BYTES: Final = 255
 _MAX_INT32: Final = (1 << 31) - 1
 
 _Number = Annotated[int, Field(ge=0, le=_MAX_INT32)]
@@ -62,6 +64,14 @@
     )
 
 
+def can_record(service: str, data_centre: str) -> bool:
+    """Return whether the store takes the keys of a data centre's pools."""
+    return all(
+        len(record_key(service, Pool(data_centre, kind))) <= _MAX_KEY_BYTES
+        for kind in ServerKind
+    )
+
+
 def encode_record(record: OrderRecord) -> bytes:
     """Return the content of a record."""
     return (
@@ -98,4 +108,10 @@
     return unquote(parts[1]), Pool(unquote(parts[2]), ServerKind(parts[3]))
 
 
-__all__ = ('OrderRecord', 'decode_records', 'encode_record', 'record_key')
+__all__ = (
+    'OrderRecord',
+    'can_record',
+    'decode_records',
+    'encode_record',
+    'record_key',
+)
--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -7,7 +7,7 @@
 from burdockledge.autoscaling._faults import find_fault
 from burdockledge.autoscaling._order_book import OrderBook
 from burdockledge.autoscaling._planner import ServicePlanner
-from burdockledge.autoscaling._records import OrderRecord
+from burdockledge.autoscaling._records import OrderRecord, can_record
 from burdockledge.autoscaling._types import Plan, Pool, PoolState, ServerKind
 from burdockledge.duties import CallOutcome
 
@@ -51,6 +51,10 @@
         self._data_centres |= {
             pool.data_centre for pool, ready in view.ready.items() if ready
         }
+        if not all(
+            can_record(view.service, name) for name in view.autoscale.prices
+        ):
+            return 'the names of the service and a data centre are too long'
         return find_fault(view.autoscale, self._data_centres)
 
     def is_settled(self, view: ServiceView, now: float) -> bool:
