Check the end of a topic as the stand-in store appends

Seen: of two appends at the same end whose records arrive slowly, both were confirmed, so a soak could show two claims where a store allows one.

Cause: the stand-in compared the end before it had read the record.

Evidence: test_one_of_two_appends_at_an_end_is_refused failed with 200 twice.

Change: read the record first.

--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -111,11 +111,13 @@
     async def _respond(self, request: web.BaseRequest) -> web.Response:
         topic = request.rel_url.query['topic']
         if request.path.endswith('log-append'):
+            # Nothing may be appended between the check and the append.
+            body = await request.read()
             expected_end = request.rel_url.query.get('at')
             end = len(self.topics.get(topic, ()))
             if expected_end not in {None, str(end)}:
                 return web.json_response({'end': end}, status=412)
-            return self._append(topic, await request.read())
+            return self._append(topic, body)
         if topic not in self.topics:
             return web.Response(status=404)
         if request.path.endswith('log-read'):
--- a/tests/platform_adapter/test_standin_store.py
+++ b/tests/platform_adapter/test_standin_store.py
@@ -5,7 +5,7 @@
 import asyncio
 import struct
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import pytest
@@ -29,7 +29,7 @@
         self._address = address
 
     async def call(
-        self, path: str, body: bytes | None = None
+        self, path: str, body: bytes | AsyncIterator[bytes] | None = None
     ) -> aiohttp.ClientResponse:
         """Read, or append if there is a body."""
         response = await self._session.request(
@@ -141,3 +141,22 @@
     store.restore(store.ends_at(times[2]))
     assert [content for _, content in store.topics[TOPIC]] == [b'0', b'1']
     assert store.era == 2
+
+
+def test_one_of_two_appends_at_an_end_is_refused() -> None:
+    """Guards against a check of the end before the record has arrived."""
+    store = StandInStore()
+
+    async def slow_body() -> AsyncIterator[bytes]:
+        record = encode_record('k', b'v')
+        yield record[:1]
+        await asyncio.sleep(0.1)
+        yield record[1:]
+
+    async def test(caller: Caller) -> None:
+        answers = await asyncio.gather(
+            *(caller.call(f'{APPEND}&at=0', slow_body()) for _ in range(2))
+        )
+        assert sorted(answer.status for answer in answers) == [200, 412]
+
+    run_with_caller(store, test)
