Count running calls before normal servers leave without a replacement

The new test failed first (22 left, 43 needed). Checked by: pytest tests/autoscaling (117 passed); ruff, flake8 and mypy clean.

--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -206,7 +206,8 @@
 
 
 def _largest_need(demand: Demand) -> float:
-    return max(demand.mean, demand.peak, demand.latest) / RECLAIM_UTILISATION
+    busiest = max(demand.mean, demand.peak, demand.latest, demand.running)
+    return busiest / RECLAIM_UTILISATION
 
 
 __all__ = ('ServicePlanner',)
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -129,3 +129,17 @@
     play_traffic(scene, 10, 17)
     assert scene.least_ready >= expected
     assert sum(scene.totals().values()) >= 45
+
+
+@pytest.mark.parametrize('running', [13, 30, 36])
+def test_running_calls_keep_their_servers(running: float) -> None:
+    """Guards against an exchange that takes the slots of running calls."""
+    scene = Scene(even_fleet())
+    scene.fleet.autoscale = replace(AUTOSCALE, max_servers=15)
+    for step in range(160):
+        scene.fleet.demand = Demand(
+            1, 0, 1, 1, running, traffic_seconds=step / 2
+        )
+        scene.play(0.5)
+    # The size for running calls.
+    assert scene.least_ready >= running / 0.85
