Keep the planned sizes when the configured data centres change

A new data centre started the plan anew from the registered servers, with another reserve: 23 servers became 34, or 40 while kinds were exchanged.

The new test failed first in all three cases. Checked by: pytest tests/autoscaling (120 passed); ruff, flake8 and mypy clean.

--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -54,6 +54,11 @@
         self._added_at = now - _AFTER_ADDITION_SECONDS
         self._unneeded_since: dict[Pool, float] = {}
 
+    @property
+    def sizes(self) -> Mapping[str, int]:
+        """The planned servers by data centre, both kinds together."""
+        return self._sizes
+
     def plan(
         self, view: ServiceView, states: Mapping[Pool, PoolState], now: float
     ) -> Plan:
--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -148,8 +148,8 @@
             or spot_price > _MAX_RESERVE_PRICE
         ):
             return ServicePlanner(sizes, now)
-        if self._recorded:
-            # The sizes contain the reserve of an earlier holder.
+        if self._recorded or self._planner is not None:
+            # The sizes contain the reserve of an earlier plan.
             return ServicePlanner(sizes, now, left_by_reclaim(sizes))
         enlarged = with_reclaim_reserve(sizes, view.autoscale.max_servers)
         has_reserve = enlarged != sizes
@@ -159,6 +159,8 @@
 
     def _first_size(self, data_centre: str, view: ServiceView) -> int:
         """Return the size that was planned before, else the present one."""
+        if self._planner is not None and data_centre in self._planner.sizes:
+            return self._planner.sizes[data_centre]
         sizes = [
             record.size
             for pool, record in self._recorded.items()
--- a/tests/autoscaling/test_reserve.py
+++ b/tests/autoscaling/test_reserve.py
@@ -147,3 +147,19 @@
     assert all(
         order.outcome is CallOutcome.accepted for order in scene.platform.orders
     )
+
+
+@pytest.mark.parametrize('seconds', [3.5, 7.5, 20])
+def test_a_new_data_centre_does_not_enlarge_the_others_again(
+    seconds: float,
+) -> None:
+    """Guards against a fleet that grows at each change of configuration."""
+    scene = Scene(even_fleet())
+    scene.play(seconds)
+    scene.platform.carry_out_late(normal('d'), 5, boot_seconds=0)
+    scene.fleet.autoscale = replace(
+        AUTOSCALE, prices={**AUTOSCALE.prices, 'd': 1.0}
+    )
+    scene.play(30)
+    assert scene.totals() == {'a': 23, 'b': 23, 'c': 23, 'd': 5}
+    assert max(order.count for order in scene.platform.orders) == 23
