Count all registered servers of a kind that is not available

Registered servers beyond the wanted ones did not count while their kind was unavailable, so normal servers were ordered although enough spot servers ran.

The new test failed first: orders of 2 normal servers and more. Checked by: pytest tests/autoscaling (123 passed); ruff, flake8 and mypy clean.

--- a/src/burdockledge/autoscaling/_mix.py
+++ b/src/burdockledge/autoscaling/_mix.py
@@ -103,7 +103,7 @@
         """Return the servers of a pool that are there, or can be ordered."""
         state = self._states[pool]
         if state.is_blocked:
-            return min(self.wanted[pool], state.ready)
+            return state.ready
         # Servers that are not wanted stay until others replace them.
         return max(self.wanted[pool], state.ready)
 
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -159,3 +159,20 @@
     # 46 or 24 are left by the reclaim, and the mean needs 29.
     assert scene.least_ready == left
     assert scene.totals() == {'a': 10, 'b': 11, 'c': 8}
+
+
+def test_registered_servers_of_an_unavailable_kind_count() -> None:
+    """Guards against normal servers in place of spot servers that run."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 40
+    for name in 'ab':
+        scene.platform.reclaim(name)
+    before = len(scene.platform.orders)
+    play_traffic(scene, 40, 60)
+    # 24 are left, and 19 carry the mean at a utilisation of 0.7.
+    assert not [
+        order
+        for order in scene.platform.orders[before:]
+        if order.pool.kind is ServerKind.normal
+    ]
