Make up a shortage beyond surplus servers of other data centres

Surplus servers counted as available, but what was missing was added to the planned share below them: with two of three data centres reclaimed, 24 servers ran of 29 that were needed, and none were ordered in the third.

The new test failed first (24 of 29).

--- a/src/burdockledge/autoscaling/_mix.py
+++ b/src/burdockledge/autoscaling/_mix.py
@@ -115,13 +115,16 @@
                 continue
             if self._states[pool].is_blocked:
                 continue
+            present = self._available(pool)
             room = self._highest - sum(
-                count
-                for other, count in self.wanted.items()
+                self._available(other)
+                for other in self.wanted
                 if other.data_centre == name
             )
             added = max(0, min(room, missing))
-            self.wanted[pool] += added
+            if added:
+                # On top of registered servers, which count as available.
+                self.wanted[pool] = present + added
             missing -= added
         return max(0, missing)
 
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -176,3 +176,16 @@
         for order in scene.platform.orders[before:]
         if order.pool.kind is ServerKind.normal
     ]
+
+
+def test_a_shortage_is_made_up_beyond_servers_that_were_surplus() -> None:
+    """Guards against a shortage that lasts as surplus servers cover it."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_in |= {'a', 'b'}
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 20
+    for name in 'ab':
+        scene.platform.reclaim(name)
+    play_traffic(scene, 40, 45)
+    # 23 spot servers in one data centre, 1 normal one, and 5 more.
+    assert sum(scene.totals().values()) == 29
