--- a/src/burdockledge/autoscaling/_mix.py
+++ b/src/burdockledge/autoscaling/_mix.py
@@ -103,7 +103,7 @@
         """Return the servers of a pool that are there, or can be ordered."""
         state = self._states[pool]
         if state.is_blocked:
-            return min(self.wanted[pool], state.ready)
+            return state.ready
         # Servers that are not wanted stay until others replace them.
         return max(self.wanted[pool], state.ready)
 
@@ -115,13 +115,16 @@
                 continue
             if self._states[pool].is_blocked:
                 continue
+            present = self._available(pool)
             room = self._highest - sum(
-                count
-                for other, count in self.wanted.items()
+                self._available(other)
+                for other in self.wanted
                 if other.data_centre == name
             )
             added = max(0, min(room, missing))
-            self.wanted[pool] += added
+            if added:
+                # On top of registered servers, which count as available.
+                self.wanted[pool] = present + added
             missing -= added
         return max(0, missing)
 
--- a/src/burdockledge/autoscaling/_planner.py
+++ b/src/burdockledge/autoscaling/_planner.py
@@ -16,7 +16,11 @@
     needed_servers,
     price_shares,
 )
-from burdockledge.autoscaling._steps import Bounds, next_counts
+from burdockledge.autoscaling._steps import (
+    Bounds,
+    keep_needed,
+    next_counts,
+)
 from burdockledge.autoscaling._types import Plan, Pool, PoolState, ServerKind
 
 if TYPE_CHECKING:
@@ -54,6 +58,11 @@
         self._added_at = now - _AFTER_ADDITION_SECONDS
         self._unneeded_since: dict[Pool, float] = {}
 
+    @property
+    def sizes(self) -> Mapping[str, int]:
+        """The planned servers by data centre, both kinds together."""
+        return self._sizes
+
     def plan(
         self, view: ServiceView, states: Mapping[Pool, PoolState], now: float
     ) -> Plan:
@@ -83,6 +92,9 @@
                 self._removable(name, view, now),
             )
             counts |= next_counts(name, wanted, dict(states), bounds)
+        if view.demand.traffic_seconds is not None:
+            needed = min(self._needed(view.demand), sum(sizes.values()))
+            counts = keep_needed(counts, states, needed)
         return Plan(wanted, counts, sizes, reason)
 
     def note_addition(self, now: float) -> None:
@@ -206,7 +218,8 @@
 
 
 def _largest_need(demand: Demand) -> float:
-    return max(demand.mean, demand.peak, demand.latest) / RECLAIM_UTILISATION
+    busiest = max(demand.mean, demand.peak, demand.latest, demand.running)
+    return busiest / RECLAIM_UTILISATION
 
 
 __all__ = ('ServicePlanner',)
--- a/tests/autoscaling/test_reclaims.py
+++ b/tests/autoscaling/test_reclaims.py
@@ -129,3 +129,63 @@
     play_traffic(scene, 10, 17)
     assert scene.least_ready >= expected
     assert sum(scene.totals().values()) >= 45
+
+
+@pytest.mark.parametrize('running', [13, 30, 36])
+def test_running_calls_keep_their_servers(running: float) -> None:
+    """Guards against an exchange that takes the slots of running calls."""
+    scene = Scene(even_fleet())
+    scene.fleet.autoscale = replace(AUTOSCALE, max_servers=15)
+    for step in range(160):
+        scene.fleet.demand = Demand(
+            1, 0, 1, 1, running, traffic_seconds=step / 2
+        )
+        scene.play(0.5)
+    # The size for running calls.
+    assert scene.least_ready >= running / 0.85
+
+
+@pytest.mark.parametrize(('reclaimed', 'left'), [('a', 29), ('ab', 24)])
+def test_others_are_not_removed_below_the_need_first(
+    reclaimed: str, left: int
+) -> None:
+    """Guards against a smaller fleet than needed while one is unavailable."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 40
+    for name in reclaimed:
+        scene.platform.reclaim(name)
+    play_traffic(scene, 40, 60)
+    # 46 or 24 are left by the reclaim, and the mean needs 29.
+    assert scene.least_ready == left
+    assert scene.totals() == {'a': 10, 'b': 11, 'c': 8}
+
+
+def test_registered_servers_of_an_unavailable_kind_count() -> None:
+    """Guards against normal servers in place of spot servers that run."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 40
+    for name in 'ab':
+        scene.platform.reclaim(name)
+    before = len(scene.platform.orders)
+    play_traffic(scene, 40, 60)
+    # 24 are left, and 19 carry the mean at a utilisation of 0.7.
+    assert not [
+        order
+        for order in scene.platform.orders[before:]
+        if order.pool.kind is ServerKind.normal
+    ]
+
+
+def test_a_shortage_is_made_up_beyond_servers_that_were_surplus() -> None:
+    """Guards against a shortage that lasts as surplus servers cover it."""
+    scene = Scene(even_fleet())
+    scene.play(16)
+    scene.platform.unavailable_in |= {'a', 'b'}
+    scene.platform.unavailable_until[ServerKind.spot] = scene.now + 20
+    for name in 'ab':
+        scene.platform.reclaim(name)
+    play_traffic(scene, 40, 45)
+    # 23 spot servers in one data centre, 1 normal one, and 5 more.
+    assert sum(scene.totals().values()) == 29
