Read no usage record whose window is no number of seconds

Seen: a record `usage/0` with a window of 400 digits ended each run of the usage duty with OverflowError, at each holder, so nothing was reported.

Cause: the window was any integer; its end in seconds is a float.

Change: windows are from 0 to 2**53 - 1; other records can not be read, which is logged once.

--- a/src/burdockledge/platform/_usage_report.py
+++ b/src/burdockledge/platform/_usage_report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Final
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -13,10 +13,14 @@
     from collections.abc import Mapping
 
 
+# The start of a later window is no exact number of seconds.
+_MAX_WINDOW: Final = (1 << 53) - 1
+
+
 class _Report(BaseModel):
     model_config = ConfigDict(strict=True)
 
-    window_id: int
+    window_id: Annotated[int, Field(ge=0, le=_MAX_WINDOW)]
     counts: dict[str, Annotated[int, Field(ge=0)]]
 
 
--- a/tests/usage/test_wiring.py
+++ b/tests/usage/test_wiring.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from burdockledge.duties import StoreRecord
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
 from burdockledge.platform import PlatformUsageReport
@@ -90,7 +91,16 @@
 
 
 @pytest.mark.parametrize(
-    'report', [b'', b'{}', b'[]', b'{"window_id":"7","counts":{}}', b'\xff']
+    'report',
+    [
+        b'',
+        b'{}',
+        b'[]',
+        b'{"window_id":"7","counts":{}}',
+        b'\xff',
+        b'{"window_id":-1,"counts":{}}',
+        b'{"window_id":1%b,"counts":{}}' % (b'0' * 400),
+    ],
 )
 def test_an_unreadable_record_names_no_window(report: bytes) -> None:
     """Guards against bytes that nobody expected among the records."""
@@ -102,3 +112,16 @@
     report = PlatformUsageReport().encode(7, {'b': 2, 'a': 1})
     assert report == b'{"window_id":7,"counts":{"a":1,"b":2}}'
     assert PlatformUsageReport().window_of(report) == 7
+
+
+def test_a_record_with_a_huge_window_ends_no_run() -> None:
+    """Guards against a window whose end is no finite number of seconds."""
+    content = b'{"window_id":1%b,"counts":{}}' % (b'0' * 400)
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.store.records['usage/0'] = StoreRecord(0, content)
+        fleet.hold('h0')
+        await asyncio.sleep(32)
+        assert fleet.missed(0, 4) == []
+
+    UsageFleet().run(scenario)
