--- a/tests/soak/_bounds.py
+++ b/tests/soak/_bounds.py
@@ -11,6 +11,11 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
 RETRY_WINDOW_SECONDS = 10.0
+# For duties: no holder, another one and the first again act within the lease.
+# Half of the usual one, so that pauses of hosts outlast it.
+LEASE_SECONDS = 1.5
+# Short, so that a run of 20 s has some windows.
+USAGE_WINDOW_SECONDS = 2.0
 # Added to the bound of the configuration for a host that the store turns away
 # (the users' max_skew_ms).
 MAX_SKEW_SECONDS = 5.0
--- a/tests/soak/_configuration.py
+++ b/tests/soak/_configuration.py
@@ -19,6 +19,12 @@
     'draft': 'streaming',
     'check': 'streaming',
 }
+MAX_SERVERS = 8
+# Short boots, so that there are many orders.
+_AUTOSCALE = {
+    'min': 1, 'max': MAX_SERVERS, 'boot_s': 0.5, 'spot_price': 0.18,
+    'zone_prices': {'a': 1.0, 'b': 0.8},
+}  # fmt: skip
 _REVOCABLE_KEY_COUNT = 6
 # Callers use the keys that stay this many times as often as the others.
 _KEY_WEIGHT = 4
@@ -63,7 +69,8 @@
                     ),
                 ],
                 'backends': [
-                    {'name': name} for name in sorted(set(SERVICES.values()))
+                    {'name': name, 'autoscale': _AUTOSCALE}
+                    for name in sorted(set(SERVICES.values()))
                 ],
                 'tenants': [
                     {'name': 'team-a', 'api_keys': ['key-a'], 'priority': 0},
--- a/tests/soak/_hosts.py
+++ b/tests/soak/_hosts.py
@@ -14,10 +14,12 @@
 from tests.soak._bounds import (
     CONFIGURATION_SECONDS,
     DRAIN_SECONDS,
+    LEASE_SECONDS,
     RETRY_RATIO,
     RETRY_SLACK,
     RETRY_WINDOW_SECONDS,
     SHUTDOWN_GRACE_SECONDS,
+    USAGE_WINDOW_SECONDS,
 )
 from tests.soak._record import Record, Span, Usage
 
@@ -60,9 +62,18 @@
         return f'{self.ip}:{PORTS["directory"]}'
 
     def write_settings(
-        self, store: str, seeds: list[str], ttl_seconds: float
-    ) -> None:
-        """Write the settings file that the platform adapter reads."""
+        self, store: str, seeds: list[str], ttl_seconds: float,
+        duty_api: str = '', *, checks_tokens: bool = False,
+    ) -> None:  # fmt: skip
+        """Write the settings file that the platform adapter reads.
+
+        :param duty_api: the address of the API for duties, empty for none.
+        """
+        cloud = f"""[cloud]
+address = "{duty_api}"
+duties = ["usage_report", "autoscale"]
+duties_per_s = 50
+"""
         listen = '\n'.join(
             f'{role} = "{self.ip}:{port}"' for role, port in PORTS.items()
         )
@@ -83,9 +94,12 @@
 retry_budget_slack = {RETRY_SLACK}
 budget_window_s = {RETRY_WINDOW_SECONDS}
 ttl_max_s = {ttl_seconds}
+fencing_required = {str(checks_tokens).lower()}
+lease_ms = {LEASE_SECONDS * 1000}
+report_window_s = {USAGE_WINDOW_SECONDS}
 [provider]
 address = "{store}"
-""")
+{cloud if duty_api else ''}""")
 
     async def start(self, mutation: str | None = None) -> None:
         """Start the process, which is restarted whenever it exits."""
--- a/tests/soak/_mutations.py
+++ b/tests/soak/_mutations.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import json
 import socket
 from collections.abc import Callable
 from typing import Any
 
+from burdockledge.duties._lease_state import LeaseState
 from burdockledge.host import RelayHost
 from burdockledge.http_client import BoundedConnection
-from burdockledge.platform import PlatformDecoder, _calls, _servers, _store
+from burdockledge.platform import (
+    HttpDutyApi,
+    PlatformDecoder,
+    _calls,
+    _duty_api,
+    _servers,
+    _store,
+)
 from burdockledge.registry import ServerRegistry
 from burdockledge.relay import (
     CONFIGURATION_STREAM,
@@ -264,6 +274,29 @@
     ReplicatedRoutingState._note_restore = note_restore
 
 
+def share_fencing_tokens() -> None:
+    """Use one fencing token for all claims of an era."""
+    _duty_api._fence_token = lambda number: number.era + 1
+
+
+def outlive_leases() -> None:
+    """Call as long as no newer claim was read."""
+    LeaseState.has_lease = lambda *_: True
+
+
+def count_at_each_report() -> None:
+    """Send a window with other counts each time."""
+    original = HttpDutyApi.report_usage
+    numbers = itertools.count(1)
+
+    async def report(self: Any, lease: Any, content: bytes) -> Any:
+        document = json.loads(content)
+        document['counts']['again'] = next(numbers)
+        return await original(self, lease, json.dumps(document).encode())
+
+    HttpDutyApi.report_usage = report
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -290,5 +323,8 @@
         believe_copied_refusals,
         believe_refusals_of_others,
         abort_callers,
+        share_fencing_tokens,
+        outlive_leases,
+        count_at_each_report,
     )
 }
--- a/tests/soak/_oracle.py
+++ b/tests/soak/_oracle.py
@@ -16,6 +16,7 @@
     tolerance_seconds,
 )
 from tests.soak._configuration_oracle import CONFIGURATION_INVARIANTS
+from tests.soak._duty_oracle import DUTY_INVARIANTS
 from tests.soak._record import (
     AT_MOST_ONCE_KINDS,
     EVENT_COUNT,
@@ -251,4 +252,5 @@
     hosts_exit_only_on_signal,
     *CONFIGURATION_INVARIANTS,
     *SERVER_INVARIANTS,
+    *DUTY_INVARIANTS,
 )
--- a/tests/soak/_record.py
+++ b/tests/soak/_record.py
@@ -175,6 +175,25 @@
     descriptors: int
 
 
+@dataclass
+class DutyCall:
+    """
+    A call to the platform's API for duties; times in monotonic seconds.
+
+    ``subject`` is that of its fencing token; ``ran_at`` and ``fenced_at`` are
+    infinite if it was not carried out, or not answered with 409 for its token.
+    """
+
+    subject: str
+    host: str
+    token: int
+    at: float
+    window: int | None
+    content: str
+    ran_at: float = math.inf
+    fenced_at: float = math.inf
+
+
 @dataclass
 class Record:
     """All input of the oracle; times in seconds of the monotonic clock."""
@@ -201,6 +220,7 @@
     store_faults: list[Span] = field(default_factory=list)
     rejections: dict[str, list[Span]] = field(default_factory=dict)
     restores: list[Restore] = field(default_factory=list)
+    duty_calls: list[DutyCall] = field(default_factory=list)
     link_faults: list[Span] = field(default_factory=list)
     host_faults: dict[str, list[Span]] = field(default_factory=dict)
     # When each host stood still, among its other faults.
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -20,6 +20,7 @@
     SoakReturningCaller,
 )
 from tests.soak._configuration import SERVICES, SoakConfiguration
+from tests.soak._duty_api import SoakDutyApi
 from tests.soak._faults import INJECTORS, Fault, draw_schedule
 from tests.soak._hosts import SoakHost
 from tests.soak._oracle import find_violations
@@ -73,6 +74,8 @@
             f'127.{os.getpid() % 200 + 20}.{plan.seed % 250 + 1}'
         )
         self.store = SoakStore(self.record, self._random)
+        self.duty_api = SoakDutyApi(self.record, Random(f'{plan.seed} duties'))
+        self._duty_api_address = ''
         self.hosts = [
             SoakHost(
                 f'host-{number}', f'{self._subnet_prefix}.{number + 1}',
@@ -104,14 +107,16 @@
                 with contextlib.suppress(OSError):
                     await server.stop(is_crash=False)
             await self.store.close()
+            await self.duty_api.close()
         return find_violations(self.record)
 
     def write_settings(self, host: SoakHost, ttl_seconds: float) -> None:
         """Write the settings file of a host."""
         seeds = [other.ip for other in self.hosts[:3]]
         host.write_settings(
-            self._store_addresses[host.name], seeds, ttl_seconds
-        )
+            self._store_addresses[host.name], seeds, ttl_seconds,
+            self._duty_api_address, checks_tokens=self.duty_api.checks_tokens,
+        )  # fmt: skip
 
     async def replace_server(self, random: Random) -> None:
         """Start a server, then drain and stop one of the same service."""
@@ -193,6 +198,9 @@
             await self._add_server(server.service, server.name)
 
     async def _start(self) -> None:
+        self._duty_api_address = await self.duty_api.listen(
+            f'{self._subnet_prefix}.202'
+        )
         for host in self.hosts:
             self._store_addresses[host.name] = await self.store.listen(
                 host.name, f'{self._subnet_prefix}.200'
@@ -241,6 +249,7 @@
         caller_tasks = self.start_callers(self.plan.callers)
         self.spawn(self._record_usage())
         self.spawn(self._measure_lag())
+        self.spawn(self.duty_api.fail_at_times())
         started_at = self.now()
         for fault in self.plan.schedule():
             await asyncio.sleep(max(0, started_at + fault.at - self.now()))
