Log once that the topic of duties is not read

Seen: a topic that the store refuses, or whose records can not be read, keeps every host from the duties, and only lines of the level debug said so.

Evidence: test_each_outage_of_the_topic_is_logged_once failed without lines.

Change: a warning with the reason for the first read that fails, and again when the reason changes or a read has succeeded meanwhile.

--- a/src/burdockledge/duties/_claim_writer.py
+++ b/src/burdockledge/duties/_claim_writer.py
@@ -18,7 +18,11 @@
 
 if TYPE_CHECKING:
     from burdockledge.clock import Clock
-    from burdockledge.duties._ports import DutyStore, FenceNumber
+    from burdockledge.duties._ports import (
+        DutyStore,
+        FenceNumber,
+        StoreFailure,
+    )
 
 _log = make_logger('duties')
 
@@ -50,6 +54,8 @@
         self._clock = clock
         self._lock = asyncio.Lock()
         self._renewal_count = 0
+        # Why the last read failed; it is logged once.
+        self._read_failure: StoreFailure | None = None
         self.is_in_doubt = False
 
     async def read(self) -> bool:
@@ -135,8 +141,11 @@
         sent_at = self._clock.monotonic()
         result = await self._store.read()
         if isinstance(result, Err):
-            _log.debug('Claims are not read.', why=result.err_value.value)
+            if result.err_value != self._read_failure:
+                self._read_failure = result.err_value
+                _log.warning('Claims are not read.', why=result.err_value.value)
             return False
+        self._read_failure = None
         is_new = self._state.note_read(
             result.ok_value, sent_at, self._clock.monotonic()
         )
