Wait from the end of the own last lease before a claim at once

Seen in review: after a restore of the store, the claim of the next holder is on top of a copy that does not name the holder before, so its release allows that host to claim at once. If it claimed for less than a lease, the hosts alternate within a lease.

Change: a process remembers the end of its last lease and takes the release of another host as permission only after the usual wait from there.

--- a/src/burdockledge/duties/_holder.py
+++ b/src/burdockledge/duties/_holder.py
@@ -7,11 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.duties._claim_writer import ClaimWriter
-from burdockledge.duties._lease_state import (
-    ClaimCheck,
-    LeaseState,
-    LeaseTimes,
-)
+from burdockledge.duties._lease_state import ClaimCheck, LeaseState
+from burdockledge.duties._lease_times import LeaseTimes
 from burdockledge.duties._ports import CallOutcome, FenceNumber
 from burdockledge.duties._records import HOLDER_KEY
 from burdockledge.duties._term import LeaseOwner, Term
--- a/src/burdockledge/duties/_lease_state.py
+++ b/src/burdockledge/duties/_lease_state.py
@@ -9,7 +9,7 @@
 
 import enum
 import math
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.duties._ports import (
@@ -26,12 +26,8 @@
 )
 
 if TYPE_CHECKING:
-    from burdockledge.settings import DutySettings
+    from burdockledge.duties._lease_times import LeaseTimes
 
-# Covers the way of a call that the former holder sent as its lease ended.
-_MARGIN_SECONDS: Final = 0.5
-# The platform may carry out a call without an answer this much later.
-_LATE_CALL_SECONDS: Final = 2.0
 # Watchers read once per second; two reads in a row may fail or be slow.
 _MAX_GAP_SECONDS: Final = 2.5
 # Leases for which a host claims nothing after it could not do the duties.
@@ -48,27 +44,6 @@
     lost = 'the store has lost the claim'
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseTimes:
-    """
-    Seconds that claims depend on.
-
-    ``late`` is the time for which a call without an answer keeps a later token
-    from being used; 0 if the platform checks tokens.
-    """
-
-    lease: float
-    wait: float
-    late: float
-
-    @classmethod
-    def from_settings(cls, settings: DutySettings) -> LeaseTimes:
-        """Return the times of a deployment."""
-        late = 0.0 if settings.checks_fence_numbers else _LATE_CALL_SECONDS
-        lease = settings.lease_seconds
-        return cls(lease, lease + _MARGIN_SECONDS + late, late)
-
-
 class LeaseState:
     """
     What a process knows of the topic, and its own claim.
@@ -97,6 +72,8 @@
         self._renewed_at = -math.inf
         self._former_hosts: frozenset[str] = frozenset()
         self._paused_until = -math.inf
+        # The end of the last lease of this process.
+        self._held_until = -math.inf
         self._fenced: FenceNumber | None = None
         # The last call without an answer.
         self._unknown_at = -math.inf
@@ -173,7 +150,7 @@
             return math.inf
         pause = max(0.0, self._paused_until - now)
         if self._is_open():
-            return pause
+            return max(pause, self._seconds_until_return(now))
         return max(
             pause, self._watched_since + self._times.wait + turn_seconds - now
         )
@@ -293,6 +270,8 @@
 
     def end(self, now: float, *, must_pause: bool) -> None:
         """Hold no claim any more."""
+        lease_end = self._renewed_at + self._times.lease
+        self._held_until = max(self._held_until, min(now, lease_end))
         self.claim = None
         self._renewed_at = -math.inf
         self._is_releasing = False
@@ -336,6 +315,18 @@
             and not self._times.late
         )
 
+    def _seconds_until_return(self, now: float) -> float:
+        """
+        Return how long the release of another host leaves this one to wait.
+
+        After a restore of the store, a release may not name this host though
+        it has held the duties just before.
+        """
+        record = self.holder_record
+        if record is None or record.host == self._own_host:
+            return 0
+        return max(0, self._held_until + self._times.wait - now)
+
     def _hosts_before(self) -> frozenset[str]:
         """Return the other hosts that a claim now may closely follow."""
         record = self.holder_record
@@ -389,4 +380,4 @@
         return FenceNumber(self.snapshot.era, record.offset)
 
 
-__all__ = ('ClaimCheck', 'LeaseState', 'LeaseTimes')
+__all__ = ('ClaimCheck', 'LeaseState')
--- a/tests/duties/test_holder_faults.py
+++ b/tests/duties/test_holder_faults.py
@@ -10,7 +10,8 @@
 from burdockledge.clock import VirtualClock
 from burdockledge.duties import CallOutcome
 from burdockledge.duties._claim_writer import ClaimWriter
-from burdockledge.duties._lease_state import LeaseState, LeaseTimes
+from burdockledge.duties._lease_state import LeaseState
+from burdockledge.duties._lease_times import LeaseTimes
 from burdockledge.duties._records import (
     HOLDER_KEY,
     HolderRecord,
--- a/tests/duties/test_lease_state.py
+++ b/tests/duties/test_lease_state.py
@@ -10,11 +10,8 @@
     StoreRecord,
     StoreSnapshot,
 )
-from burdockledge.duties._lease_state import (
-    ClaimCheck,
-    LeaseState,
-    LeaseTimes,
-)
+from burdockledge.duties._lease_state import ClaimCheck, LeaseState
+from burdockledge.duties._lease_times import LeaseTimes
 from burdockledge.duties._records import (
     HOLDER_KEY,
     HolderRecord,
@@ -237,3 +234,25 @@
     state.note_read(StoreSnapshot(0, 13, records), 17, 17)
     assert state.note_found('usage/1', b'counts', 11, 16.9)
     assert not state.has_lease(17)
+
+
+@pytest.mark.parametrize('checks_numbers', [True, False])
+def test_a_release_after_a_restore_opens_nothing_to_the_holder_before(
+    checks_numbers: bool,
+) -> None:
+    """
+    Guards against holders that alternate within a lease.
+
+    The next holder claimed on top of a copy of the store that did not name
+    this host, and thus does not name it in its release.
+    """
+    state = make_state(checks_numbers=checks_numbers)
+    state.note_read(make_snapshot(None, 0), 0.9, 1)
+    assert state.note_claimed(make_snapshot(OWN, 5), 2)
+    state.end(5.1, must_pause=False)
+    release = other(is_released=True, is_open=True, era=1)
+    state.note_read(make_snapshot(release, era=1), 5.9, 6)
+    # The lease ended at 5, and the margin counts from then.
+    wait_seconds = 5 + WAIT_SECONDS[checks_numbers] - 6
+    assert state.seconds_until_claim(6, 0) == wait_seconds
+    assert state.seconds_until_claim(6 + wait_seconds, 0) == 0
