Learn waits from the forecast of the server that gets the call

A call that would be late at the chosen server is decided on by the forecast of the server that begins first, but it is sent to the chosen one. The time of its first event was then compared with the forecast of the other server, so waits seemed longer than forecast, and later calls were refused at a lower load.

The forecast that is kept for learning is now that of the chosen server.

--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -88,15 +88,16 @@
             served.urgency,
             now,
         )
+        # The call goes to the chosen server, also if another one begins sooner.
+        first_event_seconds = (
+            forecast.wait_seconds + forecast.first_event_seconds
+        )
         if self._is_lost(call, forecast):
             forecast = self._best_forecast(served, forecast, instances, now)
         refusal = self._controller.decide(call, view, forecast, now)
         if refusal is not None:
             return refusal
         history.note_decision(call.urgency, now, is_refused=False)
-        first_event_seconds = (
-            forecast.wait_seconds + forecast.first_event_seconds
-        )
         urgency = served.urgency
         if not call.is_plain and self._is_lost(call, forecast):
             lowered = self._forecast(
--- a/tests/admission/overload.py
+++ b/tests/admission/overload.py
@@ -187,9 +187,10 @@
             taken / self.slots / self.server_count if not waiting else 1.0
         )
         self.attempts.append(attempt)
-        self._place(attempt, self._served(attempt))
+        self._place(attempt, self.served(attempt))
 
-    def _served(self, attempt: Attempt) -> ServedCall:
+    def served(self, attempt: Attempt) -> ServedCall:
+        """Return the call of an attempt, as a host gets it."""
         kind = attempt.kind
         parts = (PromptPart(attempt.own_part, kind.tokens),)
         prompt = Prompt(parts, kind.tokens, 100) if kind.tokens else Prompt()
