Do not refuse long prompts for their own prefill while slots are free

A call counted as late if its wait and the forecast time to its first event were over its target, also if the time to the first event alone was. Such a call, at servers with free slots and no prompts ahead, was refused for the refusals of a more urgent kind or the share of its team, though servers had room.

A call is now late if it waits for longer than its target leaves, and at least for a quarter of the target, as for the time limit.

Evidence: the new test fails without the change for waits of 0 and 0.1 s.

--- a/src/burdockledge/admission/_controller.py
+++ b/src/burdockledge/admission/_controller.py
@@ -21,8 +21,8 @@
 # from that on. In between, hosts that decide alone from the same state refuse
 # in proportion, so that the load settles below the room.
 _FIRST_LOAD: Final = 0.8
-# A call without enough time also in calm isn't refused for its own length:
-# the forecast of that is the least certain part.
+# A call without enough time, or late for its target, also in calm isn't refused
+# for its own length: the forecast of that is the least certain part.
 _MIN_WAIT_SHARE: Final = 0.25
 # A call that came back is admitted up to this multiple of the load.
 _RETURNED_TOLERANCE: Final = 1.25
@@ -181,10 +181,12 @@
 
 
 def _is_late(call: AdmissionCall, forecast: Forecast) -> bool:
-    return (
-        forecast.wait_seconds + forecast.first_event_seconds
-        > call.target_seconds
+    """Return whether a call misses its target by more than its own length."""
+    allowed = max(
+        call.target_seconds - forecast.first_event_seconds,
+        _MIN_WAIT_SHARE * call.target_seconds,
     )
+    return forecast.wait_seconds > allowed
 
 
 def _chance(load: float) -> float:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -217,6 +217,25 @@
     assert (refusal is not None) == is_refused
 
 
+@pytest.mark.parametrize(
+    ('wait_seconds', 'is_refused'), [(0.0, False), (0.1, False), (0.3, True)]
+)
+def test_a_long_prefill_alone_is_no_lack_of_room(
+    wait_seconds: float, *, is_refused: bool
+) -> None:
+    """Guards against refusals of long prompts while servers have free slots."""
+    controller = AdmissionController(Random(1))
+    history = controller.history_of('s')
+    for _ in range(10):
+        history.note_decision(0, 1.0, is_refused=True)
+    call = AdmissionCall('s', 't', 1, 4.0, 0.8, 0.5)
+    view = ServiceView(12, 8, 0, 0.5)
+    refusal = controller.decide(
+        call, view, Forecast(wait_seconds, 0.9, 1.0), 1.0
+    )
+    assert (refusal is not None) == is_refused
+
+
 def _refused_share(attempts: list[Attempt], *, is_second: bool) -> float:
     counted = [
         attempt for attempt in attempts if attempt.is_second == is_second
