Look at all servers before a call is refused for its time limit

The server that begins first was looked for only if the call would come after 1.5 times its target at the chosen one. A caller with a short time limit could miss that limit before, and was refused for the wait at one server while another one was idle.

It is now also looked for if the time limit may be missed at the chosen server.

Evidence: the new test fails without the change.

--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -95,7 +95,9 @@
             forecast.wait_seconds + forecast.first_event_seconds
         )
         run_seconds = 0.0 if call.is_plain else forecast.run_seconds
-        if self._is_lost(call, forecast):
+        if self._is_lost(call, forecast) or not self._controller.may_wait(
+            call, forecast
+        ):
             forecast = self._best_forecast(served, forecast, instances, now)
         refusal = self._controller.decide(call, view, forecast, now)
         if refusal is not None:
--- a/tests/admission/test_forecasts.py
+++ b/tests/admission/test_forecasts.py
@@ -99,3 +99,24 @@
         0.0,
     )
     assert isinstance(admitted, LoadRefusal) == is_refused
+
+
+def test_a_call_is_not_refused_while_another_server_is_idle() -> None:
+    """
+    Guards against refusals for the wait at the chosen server alone.
+
+    A call with a short time limit may miss it there before it counts as late.
+    """
+    overload = Overload(host_count=1, server_count=2)
+    host = overload.hosts[0]
+    _start_calls(overload, host, [5, 0])
+    served = overload.served(
+        Attempt(replace(CHAT, time_limit=0.9), 0.0, 0, 100)
+    )
+    admitted = host.gate.admit(
+        served,
+        PlacementChoice(overload.instances[0], 0.0, 1000, 5),
+        overload.instances,
+        0.0,
+    )
+    assert isinstance(admitted, Admitted)
