Refuse for lack of room before a wait that would end too late

A call that waits for room sleeps for 20 ms at least, but only the shorter time of the next try was compared with the eighth of its latency target after which it may not be refused. With a target of 0.4 s a refusal could come after 54 ms instead of 50 ms at most.

The compared time is now the one that is slept.

Evidence: the new test fails without the change in two of four cases.

--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -114,6 +114,7 @@
                 max(
                     placement.room_seconds,
                     _ROOM_POLL_LATENCY_TARGETS * target_seconds,
+                    _HOLD_POLL_SECONDS,
                 ),
                 placement,
             )
--- a/tests/relay/test_load_shedding.py
+++ b/tests/relay/test_load_shedding.py
@@ -72,6 +72,37 @@
     )
 
 
+@dataclass
+class SlowlyFullState(FakeRoutingState):
+    """A routing state that names other times until there is room."""
+
+    room_seconds_of_tries: tuple[float, ...] = ()
+    tries: int = 0
+
+    def place_or_refuse(
+        self, served: ServedCall
+    ) -> Placement | LoadRefusal | None:
+        """Refuse each call, with the last time from then on."""
+        times = self.room_seconds_of_tries
+        seconds = times[min(self.tries, len(times) - 1)]
+        self.tries += 1
+        return replace(REFUSAL, room_seconds=seconds)
+
+
+@pytest.mark.parametrize('first_seconds', [0.02, 0.033, 0.034, 0.045])
+def test_no_try_begins_that_would_refuse_too_late(first_seconds: float) -> None:
+    """Guards against a last wait that is longer than the one allowed for."""
+    run = serve(
+        call('/safe/x'),
+        OK,
+        routing_state=SlowlyFullState(
+            room_seconds_of_tries=(first_seconds, 0.01)
+        ),
+    )
+    assert run.caller.status == 503
+    assert run.seconds <= 0.4 / 8 + 1e-6
+
+
 @pytest.mark.parametrize('sheds_load', [False, True])
 def test_refused_calls_never_reach_a_server(*, sheds_load: bool) -> None:
     """Guards against refusals that are not true, and any without settings."""
