--- a/src/burdockledge/admission/_controller.py
+++ b/src/burdockledge/admission/_controller.py
@@ -21,8 +21,8 @@
 # from that on. In between, hosts that decide alone from the same state refuse
 # in proportion, so that the load settles below the room.
 _FIRST_LOAD: Final = 0.8
-# A call without enough time also in calm isn't refused for its own length:
-# the forecast of that is the least certain part.
+# A call without enough time, or late for its target, also in calm isn't refused
+# for its own length: the forecast of that is the least certain part.
 _MIN_WAIT_SHARE: Final = 0.25
 # A call that came back is admitted up to this multiple of the load.
 _RETURNED_TOLERANCE: Final = 1.25
@@ -82,7 +82,7 @@
         if view.is_calm:
             return None
         history = self.history_of(call.service)
-        causes = [_time_cause(call, forecast, history.correction(call.urgency))]
+        causes = [_time_cause(call, forecast, history)]
         if not call.has_returned:
             causes += _causes_of_first_call(call, view, forecast, history, now)
         cause = max(causes, key=_chance_of)
@@ -99,8 +99,8 @@
 
     def may_wait(self, call: AdmissionCall, forecast: Forecast) -> bool:
         """Return whether a call meets its time limit with little doubt."""
-        correction = self.history_of(call.service).correction(call.urgency)
-        return not _time_cause(call, forecast, correction).chance
+        history = self.history_of(call.service)
+        return not _time_cause(call, forecast, history).chance
 
     def _retry_after(
         self, room_seconds: float, remaining_seconds: float
@@ -117,12 +117,13 @@
 
 
 def _time_cause(
-    call: AdmissionCall, forecast: Forecast, correction: float
+    call: AdmissionCall, forecast: Forecast, history: ServiceHistory
 ) -> _Cause:
     """Compare the wait with the time limit."""
-    wait = correction * forecast.wait_seconds
+    wait = history.correction(call.urgency) * forecast.wait_seconds
+    run = history.run_correction(call.urgency) * forecast.run_seconds
     allowed = max(
-        call.remaining_seconds - forecast.run_seconds,
+        call.remaining_seconds - run,
         _MIN_WAIT_SHARE * call.remaining_seconds,
     )
     tolerance = _RETURNED_TOLERANCE if call.has_returned else 1.0
@@ -180,10 +181,12 @@
 
 
 def _is_late(call: AdmissionCall, forecast: Forecast) -> bool:
-    return (
-        forecast.wait_seconds + forecast.first_event_seconds
-        > call.target_seconds
+    """Return whether a call misses its target by more than its own length."""
+    allowed = max(
+        call.target_seconds - forecast.first_event_seconds,
+        _MIN_WAIT_SHARE * call.target_seconds,
     )
+    return forecast.wait_seconds > allowed
 
 
 def _chance(load: float) -> float:
--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -43,11 +43,13 @@
     A call that may be sent, and the urgency to send.
 
     ``first_event_seconds`` is the expected time to the first event, 0 if it
-    was not needed.
+    was not needed. ``run_seconds`` is that from there to the end, 0 if nothing
+    is to be learnt from it.
     """
 
     urgency: int
     first_event_seconds: float = 0.0
+    run_seconds: float = 0.0
 
 
 class AdmissionGate:
@@ -88,15 +90,19 @@
             served.urgency,
             now,
         )
-        if self._is_lost(call, forecast):
+        # The call goes to the chosen server, also if another one begins sooner.
+        first_event_seconds = (
+            forecast.wait_seconds + forecast.first_event_seconds
+        )
+        run_seconds = 0.0 if call.is_plain else forecast.run_seconds
+        if self._is_lost(call, forecast) or not self._controller.may_wait(
+            call, forecast
+        ):
             forecast = self._best_forecast(served, forecast, instances, now)
         refusal = self._controller.decide(call, view, forecast, now)
         if refusal is not None:
             return refusal
         history.note_decision(call.urgency, now, is_refused=False)
-        first_event_seconds = (
-            forecast.wait_seconds + forecast.first_event_seconds
-        )
         urgency = served.urgency
         if not call.is_plain and self._is_lost(call, forecast):
             lowered = self._forecast(
@@ -108,10 +114,12 @@
             )
             if self._controller.may_wait(call, lowered):
                 urgency = served.lowered_urgency
+                # It would be learnt as the time of a less urgent kind.
+                run_seconds = 0.0
                 first_event_seconds = (
                     lowered.wait_seconds + lowered.first_event_seconds
                 )
-        return Admitted(urgency, first_event_seconds)
+        return Admitted(urgency, first_event_seconds, run_seconds)
 
     def note_refusal(
         self, served: ServedCall, refusal: LoadRefusal, now: float
@@ -150,6 +158,8 @@
     ) -> None:
         first_event = self._first_event_seconds.pop(placement.call_id, None)
         seconds = now - placement.placed_at
+        if first_event is not None:
+            self._learn_run(placement, result, seconds - first_event)
         if result is CallResult.answered and first_event is not None:
             seconds = first_event
         elif first_event is not None or seconds < placement.forecast_seconds:
@@ -161,6 +171,18 @@
             placement.urgency or 0, placement.forecast_seconds, seconds
         )
 
+    def _learn_run(
+        self, placement: Placement, result: CallResult, seconds: float
+    ) -> None:
+        urgency = placement.urgency or 0
+        forecast_seconds = placement.forecast_run_seconds
+        history = self._controller.history_of(placement.instance.service)
+        expected = history.run_correction(urgency) * forecast_seconds
+        # A call that ended before its answer was complete only shows how
+        # long it would have run if it ran for longer than expected.
+        if result is CallResult.answered or seconds > expected:
+            history.note_run(urgency, forecast_seconds, seconds)
+
     def _describe(self, served: ServedCall, now: float) -> AdmissionCall:
         """Return what decides on a call, which is counted once."""
         call = served.admission
