Explain where a call would go without sending it

Nothing told operators why a server was chosen or left out before a call was sent; asking the policy itself moves loads, limits and random state.

A probe answers from copies of loads, health, limits, registry and quarantine. Some private names become public for it.

--- a/src/burdockledge/quarantine/_evidence.py
+++ b/src/burdockledge/quarantine/_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -50,6 +51,17 @@
         self._cleared_at: dict[int, float] = {}
         self.digest = 0
 
+    def snapshot(self) -> CrashEvidence:
+        """Return a copy on which queries change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what queries may change."""
+        self._crashes = dict(self._crashes)
+        self._clearances = dict(self._clearances)
+
     @property
     def crashes(self) -> Collection[Crash]:
         """The crashes that count."""
--- a/src/burdockledge/quarantine/_quarantine.py
+++ b/src/burdockledge/quarantine/_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 import math
 from collections import OrderedDict
@@ -87,6 +88,17 @@
         self.is_trial_host: Callable[[int], bool] = lambda _: False
         self.on_event: Callable[[QuarantineEvent], None] = lambda _: None
 
+    def snapshot(self) -> Quarantine:
+        """Return a copy on which queries change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what queries may change."""
+        self._evidence = self._evidence.snapshot()
+        self.on_event = _ignore
+
     @property
     def digest(self) -> int:
         """A number that is equal for hosts with the same evidence."""
@@ -287,6 +299,10 @@
         return block.last_crash_at + wait_seconds
 
 
+def _ignore(_: QuarantineEvent) -> None:
+    """Tell nobody of changes of a snapshot."""
+
+
 def _changes(
     before: Assessment, after: Assessment
 ) -> Iterator[QuarantineEvent]:
--- a/src/burdockledge/registry/_registry.py
+++ b/src/burdockledge/registry/_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -83,6 +84,16 @@
         # the oldest one first.
         self._removed: dict[str, tuple[int, float]] = {}
 
+    def snapshot(self) -> ServerRegistry:
+        """Return a copy on which queries change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what queries may change."""
+        self._entries = dict(self._entries)
+
     def note_restore(self, now: float) -> None:
         """Note that the records are now those of a restored store."""
         self._grace_until = max(self._grace_until, now + EXPIRY_GRACE_SECONDS)
--- a/src/burdockledge/relay/__init__.py
+++ b/src/burdockledge/relay/__init__.py
@@ -10,6 +10,13 @@
 from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._event_buffer import EventBuffer
 from burdockledge.relay._part_guard import GuardedPart, PartOperations
+from burdockledge.relay._placement_probe import (
+    ExcludedServer,
+    PlacementProbe,
+    ProbeAnswer,
+    ProbeOutcome,
+    ProbeQuestion,
+)
 from burdockledge.relay._ports import (
     CallerPort,
     Headers,
@@ -47,6 +54,7 @@
     'CallerPort',
     'CutCause',
     'EventBuffer',
+    'ExcludedServer',
     'GuardedPart',
     'Headers',
     'IncompleteResponseError',
@@ -55,6 +63,10 @@
     'OversizedResponseError',
     'PartOperations',
     'Placement',
+    'PlacementProbe',
+    'ProbeAnswer',
+    'ProbeOutcome',
+    'ProbeQuestion',
     'RecordDecoder',
     'Relay',
     'ReplicatedRoutingState',
--- a/src/burdockledge/relay/_part_guard.py
+++ b/src/burdockledge/relay/_part_guard.py
@@ -91,6 +91,20 @@
             _keys_of(service, prompt), self._clock.monotonic()
         )
 
+    def preview(
+        self, service: str, prompt: Prompt
+    ) -> tuple[Verdict, float | None]:
+        """
+        Return the verdict on a call that is not sent, without any change.
+
+        :return: also the seconds until a blocked call may be tried.
+        """
+        now = self._clock.monotonic()
+        keys = _keys_of(service, prompt)
+        quarantine = self.quarantine.snapshot()
+        verdict = quarantine.verdict(keys, now)
+        return verdict, quarantine.blocked_seconds(keys, now)
+
     def may_repeat(self, service: str, prompt: Prompt) -> bool:
         """Return whether a call that may have run may be sent again."""
         return not self.quarantine.is_suspected(_keys_of(service, prompt))
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -18,9 +18,9 @@
 # A call waits this long for another one with a suspected part to begin, or for
 # a server that is at its limit or paused, as a multiple of its route's latency
 # target.
-_HOLD_LATENCY_TARGETS: Final = 0.5
+HOLD_LATENCY_TARGETS: Final = 0.5
 _HOLD_POLL_SECONDS: Final = 0.02
-_ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
+ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
         """
         hold_until = (
             self._clock.monotonic()
-            + _HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
+            + HOLD_LATENCY_TARGETS * served.route.latency_target_seconds
         )
         while True:
             if not served.may_have_run and self._planned_stop.would_cut_off(
@@ -107,14 +107,14 @@
         wait = self._state.seconds_until_usable(
             served.service, tried_instance_ids
         )
-        return None if wait is None else _Wait(_ALL_BUSY, wait)
+        return None if wait is None else _Wait(ALL_BUSY, wait)
 
     def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> Refusal:
-        if wait.why != _ALL_BUSY:
+        if wait.why != ALL_BUSY:
             return Refusal(wait.why)
         return Refusal(
             wait.why, self._state.retry_after_seconds(served.service)
         )
 
 
-__all__ = ('Placer', 'Refusal')
+__all__ = ('ALL_BUSY', 'HOLD_LATENCY_TARGETS', 'Placer', 'Refusal')
--- a/src/burdockledge/relay/_relay.py
+++ b/src/burdockledge/relay/_relay.py
@@ -77,6 +77,12 @@
         """
         self._planned_stop.plan(delay_seconds)
 
+    def would_cut_off(self, seconds: float) -> bool:
+        """Return whether the exit may cut off a call of this length."""
+        return self._planned_stop.would_cut_off(
+            self._clock.monotonic() + seconds
+        )
+
     async def handle(self, call: ForwardedCall, caller: CallerPort) -> None:
         """Serve one call until its caller has the whole response."""
         self.in_flight += 1
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -127,6 +127,11 @@
         """The loads of the servers, and what their services' calls ask."""
         return self._loads
 
+    @property
+    def health(self) -> HealthTracker:
+        """The health of the servers."""
+        return self._health
+
     async def wait_ready(self) -> None:
         """Wait until the routes and the servers are known."""
         await self._ready.wait()
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -64,6 +64,22 @@
         self._limits = limits
         self.notices = ServerNotices()
 
+    def snapshot(self) -> ServerGate:
+        """Return a gate whose answers change nothing here."""
+        other = ServerGate(self._registry.snapshot(), self._limits.snapshot())
+        other.notices = self.notices
+        return other
+
+    @property
+    def registry(self) -> ServerRegistry:
+        """The registered servers."""
+        return self._registry
+
+    @property
+    def limited_ids(self) -> Collection[str]:
+        """The instances that name a limit."""
+        return self._limits.limited_ids
+
     def select(
         self, service: str, tried_instance_ids: Collection[str], now: float
     ) -> Selection:
@@ -118,13 +134,18 @@
         :return: seconds from now, None if only new servers can help.
         """
         waits = [
-            self._wait_seconds(instance.instance_id, now)
+            self.wait_seconds(instance.instance_id, now)
             for instance in self._registry.ready_instances(service, now)
             if instance.instance_id not in tried_instance_ids
             and not self.notices.is_leaving(instance.instance_id)
         ]
         return min(waits, default=None)
 
+    def wait_seconds(self, instance_id: str, now: float) -> float:
+        """Return when an instance ends its pause and has room in its limit."""
+        room = self._limits.seconds_until_room((instance_id,), now)
+        return max(room or 0.0, self.notices.pause_seconds(instance_id, now))
+
     def note(
         self, instance: ServerInstance, notice: ServerNotice, now: float
     ) -> None:
@@ -175,9 +196,5 @@
             return Obstacle.pause
         return Obstacle.limit if instance_id in exhausted_ids else None
 
-    def _wait_seconds(self, instance_id: str, now: float) -> float:
-        room = self._limits.seconds_until_room((instance_id,), now)
-        return max(room or 0.0, self.notices.pause_seconds(instance_id, now))
-
 
 __all__ = ('Obstacle', 'Selection', 'ServerGate')
--- a/src/burdockledge/scheduling/__init__.py
+++ b/src/burdockledge/scheduling/__init__.py
@@ -11,6 +11,10 @@
     total_work,
 )
 from burdockledge.scheduling._departures import ServerDepartures
+from burdockledge.scheduling._explained_costs import (
+    ServerCost,
+    explain_costs,
+)
 from burdockledge.scheduling._health import CallResult, HealthTracker
 from burdockledge.scheduling._load import (
     DEFAULT_CALL_EXPIRY_SECONDS,
@@ -48,6 +52,7 @@
     'PlacementPolicy',
     'PlacementRequest',
     'PrefixCacheEstimate',
+    'ServerCost',
     'ServerDepartures',
     'PressurePolicy',
     'ServerLoad',
@@ -58,6 +63,7 @@
     'ServiceDemand',
     'ServiceTiming',
     'Work',
+    'explain_costs',
     'total_work',
     'make_policy',
 )
--- a/src/burdockledge/scheduling/_health.py
+++ b/src/burdockledge/scheduling/_health.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 # The weight of a result halves in this time.
@@ -68,6 +69,19 @@
         self._own_host = own_host
         self._servers: dict[str, _ServerHealth] = {}
 
+    def snapshot(self) -> HealthTracker:
+        """Return a copy on which queries change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what queries may change."""
+        self._servers = {
+            instance_id: replace(server)
+            for instance_id, server in self._servers.items()
+        }
+
     def record(
         self, instance_id: str, result: CallResult, host: str, now: float
     ) -> None:
--- a/src/burdockledge/scheduling/_load.py
+++ b/src/burdockledge/scheduling/_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -94,6 +95,19 @@
         self._recent_token_squares = 0.0
         self._recent_at = 0.0
 
+    def snapshot(self, pressure: ServerPressure | None) -> ServerLoad:
+        """Return a copy that may forget calls without a change here."""
+        other = copy.copy(self)
+        other.unshare()
+        other.pressure = pressure
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what a choice may change."""
+        self.stream_weights = dict(self.stream_weights)
+        self._running = dict(self._running)
+        self._pending = dict(self._pending)
+
     @property
     def prefill_tokens_per_second(self) -> float:
         """The estimated prefill rate of this instance."""
--- a/src/burdockledge/scheduling/_load_tracker.py
+++ b/src/burdockledge/scheduling/_load_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import TYPE_CHECKING, Final
 
 import xxhash
@@ -41,6 +42,39 @@
         self._demands: dict[str, ServiceDemand] = {}
         self._call_expiry_seconds = DEFAULT_CALL_EXPIRY_SECONDS
 
+    @property
+    def weighs_pressure(self) -> bool:
+        """Whether the loads are tracked with pressure."""
+        return self._options.weighs_pressure
+
+    def snapshot(self) -> LoadTracker:
+        """Return a copy on which choices change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what a choice may change."""
+        services = {
+            id(pressure): pressure.snapshot()
+            for pressure in self._pressures.values()
+        }
+        self._pressures = {
+            service: services[id(pressure)]
+            for service, pressure in self._pressures.items()
+        }
+        self._timings = dict(self._timings)
+        loads: dict[str, ServerLoad] = {}
+        for instance_id, load in self._loads.items():
+            pressure = load.pressure
+            if pressure is not None:
+                service = services.setdefault(
+                    id(pressure.service), pressure.service.snapshot()
+                )
+                pressure = pressure.snapshot(service)
+            loads[instance_id] = load.snapshot(pressure)
+        self._loads = loads
+
     def set_call_expiry(self, seconds: float) -> None:
         """Drop calls after this time, the longest that any may run."""
         self._call_expiry_seconds = seconds
--- a/src/burdockledge/scheduling/_policy.py
+++ b/src/burdockledge/scheduling/_policy.py
@@ -52,13 +52,13 @@
 # Cost of a plain call at a server that has as many calls as slots; it grows
 # in proportion to the calls.
 _FULL_SLOTS_COST_SECONDS: Final = 0.05
-_TIE_BREAK_SECONDS: Final = 0.0002
+TIE_BREAK_SECONDS: Final = 0.0002
 # Cost of a call at a server that takes only so many a second, for each step
 # by which the call is less urgent than the most urgent ones.
 _LIMITED_COST_SECONDS: Final = 0.02
 
 
-class _Server(NamedTuple):
+class ServerView(NamedTuple):
     """
     A server, and the tokens of the prompt that it caches or prefills.
 
@@ -75,7 +75,7 @@
     """A server that may get the call, at a cost without predicted loss."""
 
     cost_seconds: float
-    server: _Server
+    server: ServerView
     prefill_tokens: int
     running_calls: int
     cache_source: ServerInstance | None
@@ -127,13 +127,13 @@
         ]
         prompt = request.prompt
         has_target = request.pause_target_seconds is not None
-        servers: list[_Server] = []
+        servers: list[ServerView] = []
         for instance in healthy or instances:
             load = self._loads.load_of(instance.instance_id)
             share = load.prefill_share(now) if has_target else None
             cached_tokens = load.cache.cached_tokens(prompt)
-            servers.append(_Server(instance, load, cached_tokens, share))
-        comparison = _Comparison(request, now, limited_instance_ids)
+            servers.append(ServerView(instance, load, cached_tokens, share))
+        comparison = PlainComparison(request, now, limited_instance_ids)
         if healthy:
             comparison.find_cache_holder(servers)
         random = self._random.random
@@ -142,16 +142,16 @@
             comparison.offer(
                 server,
                 # The same as ``uniform``, without its call.
-                _TIE_BREAK_SECONDS * random(),
+                TIE_BREAK_SECONDS * random(),
                 failure_rate(server.instance.instance_id, now),
             )
             for server in servers
         ]
         offers.sort(key=itemgetter(0))
-        return comparison.best_of(offers, _mean_prefill_share(servers))
+        return comparison.best_of(offers, mean_prefill_share(servers))
 
 
-class _Comparison:
+class PlainComparison:
     """Compares servers for one call at one time."""
 
     def __init__(
@@ -166,7 +166,7 @@
         self._prompt_tokens = _prompt_tokens(request.prompt)
         self._holder: _CacheHolder | None = None
 
-    def find_cache_holder(self, servers: list[_Server]) -> None:
+    def find_cache_holder(self, servers: list[ServerView]) -> None:
         """Find the server that has prefilled the most of the prompt."""
         prompt = self._request.prompt
         most_tokens = 0
@@ -184,7 +184,7 @@
                 self._holder = _CacheHolder(instance, tokens)
 
     def offer(
-        self, server: _Server, tie_break_seconds: float, failure_rate: float
+        self, server: ServerView, tie_break_seconds: float, failure_rate: float
     ) -> _Offer:
         """Return the cost of a server without the predicted loss."""
         instance, load, cached, _ = server
@@ -343,7 +343,7 @@
     )
 
 
-def _mean_prefill_share(servers: list[_Server]) -> float:
+def mean_prefill_share(servers: list[ServerView]) -> float:
     shares = [
         server.prefill_share
         for server in servers
@@ -356,4 +356,10 @@
     return max(prompt.input_tokens, sum(part.tokens for part in prompt.parts))
 
 
-__all__ = ('PlacementPolicy',)
+__all__ = (
+    'PlacementPolicy',
+    'PlainComparison',
+    'ServerView',
+    'TIE_BREAK_SECONDS',
+    'mean_prefill_share',
+)
--- a/src/burdockledge/scheduling/_pressure.py
+++ b/src/burdockledge/scheduling/_pressure.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -89,6 +90,12 @@
             _PRIOR_PAUSE_TOKENS, _PAUSE_TOKENS_QUANTILE
         )
 
+    def snapshot(self) -> ServicePressure:
+        """Return a copy with weights of its own."""
+        other = copy.copy(self)
+        other.stream_weights = dict(self.stream_weights)
+        return other
+
     @property
     def pause_tokens(self) -> float:
         """The most tokens that are prefilled during a pause."""
@@ -136,6 +143,19 @@
         self._uses: dict[int, CacheUse] = {}
         self._backlogs: deque[_Backlog] = deque(maxlen=_MAX_KEPT_STARTS)
 
+    def snapshot(self, service: ServicePressure) -> ServerPressure:
+        """Return a copy with a sample of its own."""
+        other = copy.copy(self)
+        other.service = service
+        other.sample = LoadSample()
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what a choice may change."""
+        self._tokens_by_call = dict(self._tokens_by_call)
+        self._uses = dict(self._uses)
+
     def start(
         self,
         call: CallStart,
--- a/src/burdockledge/scheduling/_pressure_policy.py
+++ b/src/burdockledge/scheduling/_pressure_policy.py
@@ -65,7 +65,7 @@
         """
         candidates: list[Candidate] = []
         if request.prompt.parts:
-            candidates = self._candidates(instances, request, now)
+            candidates = self.candidates_of(instances, request, now)
         if not candidates:
             return self._plain_policy.choose(
                 instances, request, now, limited_instance_ids
@@ -75,7 +75,7 @@
         )
         return comparison.best()
 
-    def _candidates(
+    def candidates_of(
         self,
         instances: list[ServerInstance],
         request: PlacementRequest,
--- a/src/burdockledge/scheduling/_rate_limits.py
+++ b/src/burdockledge/scheduling/_rate_limits.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 # A server that gets no call can't tell that its need is over, so it is sent
@@ -74,6 +75,19 @@
         """The instances that name a limit."""
         return self._buckets.keys()
 
+    def snapshot(self) -> ServerRateLimits:
+        """Return a copy on which queries change nothing here."""
+        other = copy.copy(self)
+        other.unshare()
+        return other
+
+    def unshare(self) -> None:
+        """Stop sharing with another copy what queries may change."""
+        self._buckets = {
+            instance_id: replace(bucket)
+            for instance_id, bucket in self._buckets.items()
+        }
+
     def limit_of(self, instance_id: str) -> float | None:
         """Return the calls a second that an instance takes, None if any."""
         bucket = self._buckets.get(instance_id)
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -46,7 +46,7 @@
     ServerResponse,
 )
 from burdockledge.replication import GossipExchange, Peer
-from burdockledge.scheduling import ServerNotice
+from burdockledge.scheduling import PlacementOptions, ServerNotice
 from burdockledge.telemetry import Metrics
 from burdockledge.wire import StreamEntry, StreamUpdate
 from tests.relay.fakes import FakeCaller, FakeResponse, events
@@ -307,7 +307,7 @@
         self.state = ReplicatedRoutingState(
             name, fleet.peer(name).data_centre, _Decoder(fleet),
             ServerRegistry(), self.exchange, RetryBudgetSettings(0.2, 58, 10),
-            clock, random,
+            clock, random, fleet.placement_options,
         )  # fmt: skip
         self.relay = Relay(
             self.state, _EngineClient(fleet, name), clock, random, self.metrics
@@ -329,12 +329,14 @@
         *,
         seed: int = 1,
         loss_probability: float = 0.0,
+        weighs_pressure: bool = False,
     ) -> None:
         """Create hosts and engines without starting them."""
         structlog.configure(
             wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
         )
         self.loop = VirtualTimeLoop()
+        self.placement_options = PlacementOptions(weighs_pressure)
         self.random = Random(seed)
         self.network = FakeNetwork()
         self.network.loss_probability = loss_probability
