Add the command place

Operators could not see where a call would go now, what excludes servers, and whether it would wait or be refused.

`burdockledge place` asks the control listener of a running host. Questions are signed with the keys of the hosts, like releases of prompt parts. A setting may have an alias as its flag, as pydantic does not allow a field named json. The import of the part endpoint moves from host.py to host_operators.py.

--- a/src/burdockledge/cli/_registry.py
+++ b/src/burdockledge/cli/_registry.py
@@ -40,6 +40,7 @@
     _entry('timeline', '_timeline', 'Timeline'),
     _entry('parts list', '_parts', 'Parts'),
     _entry('parts release', '_parts', 'ReleasePart'),
+    _entry('place', '_place', 'Place'),
     _entry('explain', '_explain', 'Explain'),
     _entry('load', '_load', 'Load'),
     _entry('bench relay', '_bench', 'BenchRelay'),
--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -21,6 +21,7 @@
     register_servers,
     show_limit,
 )
+from burdockledge.host_operators import make_operator_endpoints
 from burdockledge.http_client import READ_BYTES, BoundedConnector
 from burdockledge.kernel import Kernel, on_stop_signal
 from burdockledge.membership import Membership, UdpSocket
@@ -28,7 +29,6 @@
 from burdockledge.platform import (
     Front,
     HttpServerClient,
-    PartEndpoint,
     PlatformDecoder,
     StoreClient,
 )
@@ -169,7 +169,7 @@
             self.relay,
             Directory(self.membership.table, random),
             self.metrics,
-            PartEndpoint(self.routing_state.parts, keys),
+            *make_operator_endpoints(self, keys, clock),
         )
         self.clock = clock
         self._connect_components()
--- a/src/burdockledge/platform/__init__.py
+++ b/src/burdockledge/platform/__init__.py
@@ -6,12 +6,17 @@
 from burdockledge.platform._duty_api import HttpDutyApi
 from burdockledge.platform._duty_store import HttpDutyStore
 from burdockledge.platform._front import Front
-from burdockledge.platform._names import PARTS_PATH
+from burdockledge.platform._names import PARTS_PATH, PLACE_PATH
 from burdockledge.platform._part_endpoint import (
     RELEASE_CONTEXT,
     PartEndpoint,
     PartRelease,
 )
+from burdockledge.platform._place_endpoint import (
+    PLACE_CONTEXT,
+    PlaceEndpoint,
+    PlaceQuestion,
+)
 from burdockledge.platform._servers import HttpServerClient
 from burdockledge.platform._settings import load_host_settings
 from burdockledge.platform._store import StoreClient
@@ -22,8 +27,12 @@
     'HttpDutyApi',
     'HttpDutyStore',
     'HttpServerClient',
+    'PLACE_CONTEXT',
+    'PLACE_PATH',
     'PartEndpoint',
     'PartRelease',
+    'PlaceEndpoint',
+    'PlaceQuestion',
     'PlatformDecoder',
     'PlatformUsageReport',
     'PARTS_PATH',
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -30,7 +30,7 @@
 _MS_PER_SECOND: Final = 1000
 # The largest number of tokens in the messages of the hosts.
 _MAX_TOKENS: Final = (1 << 31) - 1
-_PART_ID_MASK: Final = (1 << 32) - 1
+PART_ID_MASK: Final = (1 << 32) - 1
 # Headers of a single connection (RFC 9110, section 7.6.1), and headers that
 # the HTTP client sets for the next hop.
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -290,7 +290,7 @@
 
 def _parse_prompt_part(text: str) -> PromptPart:
     part, _, tokens = text.strip().partition(':')
-    return PromptPart(int(part, 16) & _PART_ID_MASK, int(tokens))
+    return PromptPart(int(part, 16) & PART_ID_MASK, int(tokens))
 
 
 def _parse_token_counts(text: str | None) -> tuple[int, int]:
@@ -301,6 +301,7 @@
 
 
 __all__ = (
+    'PART_ID_MASK',
     'BadCallError',
     'call_rate_limit',
     'decode_call',
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -26,6 +26,7 @@
 
     from burdockledge.directory import Directory
     from burdockledge.platform._part_endpoint import PartEndpoint
+    from burdockledge.platform._place_endpoint import PlaceEndpoint
     from burdockledge.relay import Headers, Relay
     from burdockledge.settings import RelayHostSettings
     from burdockledge.telemetry import Metrics
@@ -135,9 +136,11 @@
         directory: Directory,
         metrics: Metrics,
         operators: PartEndpoint,
+        placements: PlaceEndpoint | None = None,
     ) -> None:
         """Create the servers; requires a running event loop."""
         self._operators = operators
+        self._placements = placements
         self._settings = settings
         self._relay = relay
         self._directory = directory
@@ -270,6 +273,8 @@
             return await self._send_metrics(request)
         if request.path == names.PARTS_PATH:
             return await self._operators.handle(request)
+        if request.path == names.PLACE_PATH and self._placements is not None:
+            return await self._placements.handle(request)
         return _empty_response(_NOT_FOUND)
 
     async def _send_metrics(self, request: BaseRequest) -> StreamResponse:
--- a/src/burdockledge/platform/_names.py
+++ b/src/burdockledge/platform/_names.py
@@ -73,6 +73,8 @@
 METRICS_PATH: Final = '/metrics'
 # Operators see and release blocked parts of prompts here.
 PARTS_PATH: Final = '/prompt-parts'
+# Operators ask here where a call would go.
+PLACE_PATH: Final = '/placement'
 
 # Paths, topics and keys of the platform's store.
 APPEND_PATH: Final = '/burdockledge/log-append'
@@ -109,6 +111,7 @@
     'NEWEST_PATH',
     'NOT_RUN',
     'PARTS_PATH',
+    'PLACE_PATH',
     'PROMPT_PARTS',
     'READY_PATH',
     'READ_PATH',
--- a/src/burdockledge/settings/_loader.py
+++ b/src/burdockledge/settings/_loader.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from pydantic.fields import FieldInfo
     from pydantic_core import ErrorDetails
 
 SettingsT = TypeVar('SettingsT', bound=CommandSettings)
@@ -82,10 +83,10 @@
     """Return a description of each setting, in order of definition."""
     return tuple(
         SettingDescription(
-            flag=name if name == model.arguments else f'--{name}',
+            flag=name if name == model.arguments else f'--{_flag(name, field)}',
             environment=''
             if name == model.arguments
-            else environment_name(name),
+            else environment_name(_flag(name, field)),
             default='required' if field.is_required() else str(field.default),
             text=field.description or '',
         )
@@ -100,29 +101,41 @@
             continue
         if field.annotation is bool:
             flags.DEFINE_boolean(
-                name, None, field.description or '', flag_values=flag_values
+                _flag(name, field),
+                None,
+                field.description or '',
+                flag_values=flag_values,
             )
         else:
             flags.DEFINE_string(
-                name, None, field.description or '', flag_values=flag_values
+                _flag(name, field),
+                None,
+                field.description or '',
+                flag_values=flag_values,
             )
     return flag_values
 
 
+def _flag(name: str, field: FieldInfo) -> str:
+    """Return the alias of a field whose name pydantic does not allow."""
+    return field.alias or name
+
+
 def _read_values(
     model: type[CommandSettings],
     flag_values: flags.FlagValues,
     environment: Mapping[str, str],
 ) -> dict[str, object]:
     values_by_name: dict[str, object] = {}
-    for name in model.model_fields:
+    for name, field in model.model_fields.items():
         if name == model.arguments:
             continue
-        raw_value = flag_values[name].value
+        flag = _flag(name, field)
+        raw_value = flag_values[flag].value
         if raw_value is None:
-            raw_value = environment.get(environment_name(name))
+            raw_value = environment.get(environment_name(flag))
         if raw_value is not None:
-            values_by_name[name] = raw_value
+            values_by_name[flag] = raw_value
     return values_by_name
 
 
--- a/tests/platform_adapter/front_harness.py
+++ b/tests/platform_adapter/front_harness.py
@@ -12,7 +12,12 @@
 from burdockledge.directory import Directory
 from burdockledge.membership import MemberTable
 from burdockledge.peers import PeerKeys
-from burdockledge.platform import Front, HttpServerClient, PartEndpoint
+from burdockledge.platform import (
+    Front,
+    HttpServerClient,
+    PartEndpoint,
+    PlaceEndpoint,
+)
 from burdockledge.relay import GuardedPart, PartOperations, Placement, Relay
 from burdockledge.settings import RelayHostSettings
 from burdockledge.telemetry import Metrics
@@ -83,12 +88,14 @@
     handler: Handler,
     test: Callable[[FrontHarness], Awaitable[None]],
     retries: int = 10,
+    placements: PlaceEndpoint | None = None,
 ) -> None:
     """
     Run a test against a running front and a stand-in server.
 
     :param handler: responds to the requests that reach the server.
     :param retries: how many retries the budget of the service has.
+    :param placements: answers where calls would go, None for no endpoint.
     """
 
     async def run() -> None:
@@ -113,6 +120,7 @@
             Directory(member_table, Random(1)),
             metrics,
             PartEndpoint(FakePartOperations(), PEER_KEYS),
+            placements,
         )
         await front.start()
         try:
