Test each reason that excludes a server from a call

The test of the answer checked two of the reasons only. It now checks limit, leaving, pause, health, draining and departure, each at its server; the test of ten thousand questions runs on the same host.

--- a/tests/relay/test_placement_probe.py
+++ b/tests/relay/test_placement_probe.py
@@ -12,12 +12,14 @@
 from burdockledge.calls import Prompt, PromptPart
 from burdockledge.clock import Clock
 from burdockledge.quarantine import part_key
+from burdockledge.registry import Registration, ServerState
 from burdockledge.relay import (
     PlacementProbe,
     ProbeAnswer,
     ProbeOutcome,
     ProbeQuestion,
 )
+from burdockledge.scheduling import CallResult
 from burdockledge.wire import CrashSuspect
 from tests.relay.fleet import SERVICE, Fleet, FleetHost
 
@@ -89,7 +91,7 @@
     act: Callable[[FleetHost], None], weighs_pressure: bool = True
 ) -> Fleet:
     """Call a function with a host under load, and let all calls end."""
-    fleet = Fleet(2, weighs_pressure=weighs_pressure)
+    fleet = Fleet(2, 7, weighs_pressure=weighs_pressure)
 
     async def run() -> None:
         async with fleet.running():
@@ -133,6 +135,17 @@
     # An entry that expires, as an outage of the store delays its removal.
     host.state.registry.note_restore(fleet.loop.time())
     host.state.registry.remove('e3', fleet.loop.time())
+    now = fleet.loop.time()
+    state = host.state
+    state.registry.register(
+        Registration(engines[5].instance, ServerState.draining)
+    )
+    state.server_records.departures.note(
+        engines[6].instance.instance_id, 10, now, 0
+    )
+    state.health.record(
+        engines[4].instance.instance_id, CallResult.unreachable, 'h0', now
+    )
     return host
 
 
@@ -164,8 +177,18 @@
     named = [cost.instance for cost in answer.candidates]
     named += [excluded.instance for excluded in answer.excluded]
     assert len(set(named)) == len(fleet.engines)
-    obstacles = {excluded.obstacle for excluded in answer.excluded}
-    assert obstacles >= {'leaving', 'pause'}
+    excluded = {
+        excluded.instance.server_id: excluded.obstacle
+        for excluded in answer.excluded
+    }
+    assert excluded == {
+        'e0': 'limit',
+        'e1': 'leaving',
+        'e2': 'pause',
+        'e4': 'health',
+        'e5': 'draining',
+        'e6': 'departure',
+    }
 
 
 @pytest.mark.parametrize(
