Report changes by a question as plain test failures

The changes are now collected, and asserted after the calls have ended; the state is compared by the way to each value.

--- a/tests/relay/test_placement_probe.py
+++ b/tests/relay/test_placement_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -49,34 +50,36 @@
         return self._clock.wall_ms()
 
 
-def dump(root: object) -> object:
-    """Return the data of an object and of what it refers to, as plain data."""
-    seen: dict[int, object] = {}
+def _is_data(found: object) -> bool:
+    module = type(found).__module__
+    return module.startswith('burdockledge.') and '.clock' not in module
 
-    def walk(found: Any) -> object:
+
+def dump(root: object) -> dict[str, str]:
+    """Return the data that an object refers to, by the way to it."""
+    dumped: dict[str, str] = {}
+    seen: set[int] = set()
+
+    def walk(way: str, found: Any) -> None:
         if isinstance(found, Random):
-            return found.getstate()
-        if isinstance(found, dict):
-            return [(walk(key), walk(held)) for key, held in found.items()]
-        if isinstance(found, str | int | float | bytes | None):
-            return found
-        if isinstance(found, set | frozenset):
-            return sorted(map(repr, found))
-        kind = type(found)
-        is_own = kind.__module__.startswith('burdockledge.')
-        if isinstance(found, type):
-            return found.__name__
-        if isinstance(found, tuple) or (
-            hasattr(found, '__iter__') and not is_own
-        ):
-            return [walk(item) for item in found]
-        if not is_own or '.clock' in kind.__module__ or id(found) in seen:
-            return kind.__name__
-        seen[id(found)] = found
-        names = getattr(found, '__slots__', ()) or vars(found)
-        return [(name, walk(getattr(found, name, None))) for name in names]
-
-    return walk(root)
+            dumped[way] = repr(found.getstate())
+        elif isinstance(found, dict):
+            dumped[way] = repr(list(found))
+            for key, held in found.items():
+                walk(f'{way}[{key!r}]', held)
+        elif isinstance(found, str | int | float | bytes | set | None):
+            dumped[way] = repr(found)
+        elif isinstance(found, list | tuple | deque):
+            dumped[way] = str(len(found))
+            for number, item in enumerate(found):
+                walk(f'{way}[{number}]', item)
+        elif _is_data(found) and id(found) not in seen:
+            seen.add(id(found))
+            for name in getattr(found, '__slots__', ()) or vars(found):
+                walk(f'{way}.{name}', getattr(found, name, None))
+
+    walk('', root)
+    return dumped
 
 
 def probe_of(host: FleetHost, later_seconds: float = 0) -> PlacementProbe:
@@ -155,15 +158,22 @@
     later_seconds: float, weighs_pressure: bool
 ) -> None:
     """Guards against a question that moves what the host knows or draws."""
+    changed: list[str] = []
 
     def act(host: FleetHost) -> None:
         probe = probe_of(host, later_seconds)
         before = dump(host.state)
         for _ in range(ASKED):
             probe.ask(QUESTION)
-        assert dump(host.state) == before
+        after = dump(host.state)
+        changed.extend(
+            way
+            for way in {**before, **after}
+            if before.get(way) != after.get(way)
+        )
 
     on_loaded_host(act, weighs_pressure)
+    assert not changed
 
 
 def test_the_answer_names_candidates_and_what_excludes_the_others() -> None:
