--- a/src/burdockledge/host.py
+++ b/src/burdockledge/host.py
@@ -19,13 +19,13 @@
     register_servers,
     show_limit,
 )
+from burdockledge.host_operators import make_operator_endpoints
 from burdockledge.kernel import Kernel
 from burdockledge.membership import Membership, UdpSocket
 from burdockledge.peers import PeerKeys
 from burdockledge.platform import (
     Front,
     HttpServerClient,
-    PartEndpoint,
     PlatformDecoder,
     StoreClient,
 )
@@ -172,7 +172,7 @@
             self.relay,
             Directory(self.membership.table, random),
             self.metrics,
-            PartEndpoint(self.routing_state.parts, keys),
+            *make_operator_endpoints(self, keys, clock),
         )
         self.clock = clock
         self.stop_plan: StopPlan | None = None
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -19,14 +19,14 @@
 # A call waits this long for another one with a suspected part to begin, or for
 # a server that is at its limit or paused, as a multiple of its route's latency
 # target.
-_HOLD_LATENCY_TARGETS: Final = 0.5
+HOLD_LATENCY_TARGETS: Final = 0.5
 _HOLD_POLL_SECONDS: Final = 0.02
 # Callers lose nothing by a refusal up to this share of the latency target.
 _REFUSAL_LATENCY_TARGETS: Final = 0.125
 # A call that waits for room is decided on again so often, as each decision
 # takes CPU time of a host under load.
 _ROOM_POLL_LATENCY_TARGETS: Final = 0.04
-_ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
+ALL_BUSY: Final = 'every server is at its limit or asked for a pause'
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
         """
         target_seconds = served.route.latency_target_seconds
         now = self._clock.monotonic()
-        hold_until = now + _HOLD_LATENCY_TARGETS * target_seconds
+        hold_until = now + HOLD_LATENCY_TARGETS * target_seconds
         refuse_at = (
             served.arrived_at + _REFUSAL_LATENCY_TARGETS * target_seconds
         )
@@ -123,7 +123,7 @@
         wait = self._state.seconds_until_usable(
             served.service, frozenset(served.tried_instance_ids)
         )
-        return None if wait is None else _Wait(_ALL_BUSY, wait)
+        return None if wait is None else _Wait(ALL_BUSY, wait)
 
     def _refuse_to_wait(self, served: ServedCall, wait: _Wait) -> Refusal:
         if wait.lack_of_room is not None:
@@ -133,11 +133,11 @@
                 wait.lack_of_room.retry_after_seconds,
                 wait.lack_of_room,
             )
-        if wait.why != _ALL_BUSY:
+        if wait.why != ALL_BUSY:
             return Refusal(wait.why)
         return Refusal(
             wait.why, self._state.retry_after_seconds(served.service)
         )
 
 
-__all__ = ('Placer', 'Refusal')
+__all__ = ('ALL_BUSY', 'HOLD_LATENCY_TARGETS', 'Placer', 'Refusal')
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -329,6 +329,7 @@
         *,
         seed: int = 1,
         loss_probability: float = 0.0,
+        weighs_pressure: bool = False,
     ) -> None:
         """Create hosts and engines without starting them."""
         structlog.configure(
@@ -336,7 +337,7 @@
         )
         self.loop = VirtualTimeLoop()
         # How hosts that start from now on choose servers.
-        self.options = PlacementOptions()
+        self.options = PlacementOptions(weighs_pressure)
         self.random = Random(seed)
         self.network = FakeNetwork()
         self.network.loss_probability = loss_probability
