Look at the load of servers with less work for an admission

The search for the server that begins first added up the pending prompts of all 50 servers, though the wait for a slot alone rules most of them out at a high load. The view of a service looked up the slots of each server five times.

--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -205,6 +205,7 @@
         return call
 
     def _view(self, instances: list[ServerInstance], now: float) -> ServiceView:
+        # Done for all servers and each call, so with few look-ups.
         slots = 0
         taken = 0
         waiting = 0
@@ -212,13 +213,16 @@
         load_of = self._loads.load_of
         for instance in instances:
             running = load_of(instance.instance_id).running_calls(now)
-            slots += instance.slots
-            if running > instance.slots:
-                waiting += running - instance.slots
-                taken += instance.slots
+            own_slots = instance.slots
+            slots += own_slots
+            if running > own_slots:
+                waiting += running - own_slots
+                taken += own_slots
             else:
                 taken += running
-            least_fill = min(least_fill, running / max(1, instance.slots))
+            fill = running / own_slots if own_slots else running
+            if fill < least_fill:
+                least_fill = fill
         return ServiceView(slots, taken, waiting, least_fill)
 
     def _is_lost(self, call: AdmissionCall, forecast: Forecast) -> bool:
@@ -240,6 +244,15 @@
         prompt = served.call.prompt
         for instance in instances:
             load = self._loads.load_of(instance.instance_id)
+            # Most servers are passed here without the prompts ahead, which
+            # take the longer the more calls wait.
+            if (
+                self._slot_wait_seconds(
+                    served, instance, load, served.urgency, now
+                )
+                >= best.wait_seconds
+            ):
+                continue
             wait = self._wait_seconds(
                 served, instance, load, served.urgency, now
             )
@@ -288,18 +301,27 @@
         Model engines take urgent prompts first; plain services are believed
         to take calls in their order.
         """
-        ahead = load.running_calls(now) - instance.slots + 1
-        has_prompt = bool(served.call.prompt.parts)
-        if has_prompt and ahead > 0:
-            ahead = min(ahead, load.pending_calls(urgency) + 1)
-        wait = 0.0
-        if ahead > 0:
-            call_seconds = self._call_seconds(served, load)
-            wait = ahead * call_seconds / max(1, instance.slots)
-        if has_prompt:
+        wait = self._slot_wait_seconds(served, instance, load, urgency, now)
+        if served.call.prompt.parts:
             wait = max(wait, load.backlog_seconds(urgency, now))
         return wait
 
+    def _slot_wait_seconds(
+        self,
+        served: ServedCall,
+        instance: ServerInstance,
+        load: ServerLoad,
+        urgency: int,
+        now: float,
+    ) -> float:
+        """Return the time until a server has a free slot for a call."""
+        ahead = load.running_calls(now) - instance.slots + 1
+        if ahead <= 0:
+            return 0.0
+        if served.call.prompt.parts:
+            ahead = min(ahead, load.pending_calls(urgency) + 1)
+        return ahead * self._call_seconds(served, load) / max(1, instance.slots)
+
     def _call_seconds(self, served: ServedCall, load: ServerLoad) -> float:
         """Return how long a call takes a slot, 0 if nothing is known."""
         seconds = self._controller.history_of(served.service).call_seconds
