Drop the admission history of services that are gone

A host kept what it learnt of each service for as long as it ran, also after the configuration no longer named it.

--- a/src/burdockledge/admission/_controller.py
+++ b/src/burdockledge/admission/_controller.py
@@ -15,6 +15,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from random import Random
 
 # None is refused below this share of what the servers have room for, and all
@@ -71,6 +72,12 @@
             self._histories[service] = history
         return history
 
+    def retain(self, services: Collection[str]) -> None:
+        """Drop what is learnt of all services but these."""
+        for service in tuple(self._histories):
+            if service not in services:
+                self._histories.pop(service)
+
     def decide(
         self,
         call: AdmissionCall,
--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -19,6 +19,7 @@
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from random import Random
 
     from burdockledge.calls import ServerInstance
@@ -121,6 +122,10 @@
                 )
         return Admitted(urgency, first_event_seconds, run_seconds)
 
+    def retain_services(self, services: Collection[str]) -> None:
+        """Drop what is learnt of all services but these."""
+        self._controller.retain(services)
+
     def note_refusal(
         self, served: ServedCall, refusal: LoadRefusal, now: float
     ) -> None:
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -454,7 +454,10 @@
         if entries or instances_added:
             instances = self._registry.all_instances(now)
             self._loads.retain(instances)
-            self._loads.retain_services(self._service_names())
+            services = self._service_names()
+            self._loads.retain_services(services)
+            if self._admission is not None:
+                self._admission.retain_services(services)
             self._instance_ids_by_hash = {
                 hash_server_key(instance.instance_id): instance.instance_id
                 for instance in instances
--- a/tests/admission/test_forecasts.py
+++ b/tests/admission/test_forecasts.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
-from burdockledge.admission import LoadRefusal
+from burdockledge.admission import AdmissionController, LoadRefusal
 from burdockledge.relay import Placement
 from burdockledge.relay._admission_gate import Admitted
 from burdockledge.scheduling import CallResult, CallStart, PlacementChoice
@@ -120,3 +121,13 @@
         0.0,
     )
     assert isinstance(admitted, Admitted)
+
+
+def test_what_is_learnt_of_services_that_are_gone_is_dropped() -> None:
+    """Guards against memory that grows with every service there ever was."""
+    controller = AdmissionController(Random(1))
+    kept = controller.history_of('kept')
+    gone = controller.history_of('gone')
+    controller.retain({'kept'})
+    assert controller.history_of('kept') is kept
+    assert controller.history_of('gone') is not gone
