--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -115,7 +115,8 @@
         seeds = [other.ip for other in self.hosts[:3]]
         host.write_settings(
             self._store_addresses[host.name], seeds, ttl_seconds,
-            self._duty_api_address, checks_tokens=self.duty_api.checks_tokens,
+            duty_api=self._duty_api_address,
+            checks_tokens=self.duty_api.checks_tokens,
         )  # fmt: skip
 
     async def replace_server(self, random: Random) -> None:
