Refuse calls to plain services only after a server has refused

The ends of a killed host's calls are never told, so they count as running until their time limit, and the service seemed full. Its calls are now refused only within 5 s after a server has refused a call of this host while it had no free slot.

Checked by: pytest tests/admission tests/relay/test_load_shedding.py, all passed; the new test fails without the change.

--- a/src/burdockledge/admission/_controller.py
+++ b/src/burdockledge/admission/_controller.py
@@ -27,6 +27,10 @@
 _MIN_WAIT_SHARE: Final = 0.25
 # A call that came back is admitted up to this multiple of the load.
 _RETURNED_TOLERANCE: Final = 1.25
+# Calls of hosts that were killed count as running until their time limit, so
+# a plain service seems full for seconds after many hosts have died. Its calls
+# are refused only for so long after a server has refused for lack of room.
+_REFUSALS_SECONDS: Final = 5.0
 # The most urgent calls are refused at a higher load, as long as there are less
 # urgent ones to refuse.
 _URGENT_TOLERANCE: Final = 0.2
@@ -89,6 +93,8 @@
         if view.is_calm:
             return None
         history = self.history_of(call.service)
+        if call.is_plain and now - history.refused_at > _REFUSALS_SECONDS:
+            return None
         causes = [_time_cause(call, forecast, history)]
         if not call.has_returned:
             causes += _causes_of_first_call(call, view, forecast, history, now)
--- a/src/burdockledge/admission/_history.py
+++ b/src/burdockledge/admission/_history.py
@@ -42,6 +42,8 @@
         """Start from neutral priors."""
         self.call_seconds: float | None = None
         self.queue_ratio = _PRIOR_QUEUE_RATIO
+        # When a server last refused a call of this host for lack of room.
+        self.refused_at = -math.inf
         self._corrections: dict[int, float] = {}
         self._run_corrections: dict[int, float] = {}
         self._recent_teams = DecayingCounts[str](_RECENT_SECONDS)
@@ -77,12 +79,14 @@
         if self.queue_ratio < fill <= _MAX_QUEUE_RATIO:
             self.queue_ratio += _SAMPLE_WEIGHT * (fill - self.queue_ratio)
 
-    def note_server_refusal(self, fill: float) -> None:
+    def note_server_refusal(self, fill: float, now: float) -> None:
         """
         Learn from a refusal by a server.
 
         Servers that refuse while they have free slots do so for other reasons.
         """
+        if fill >= 1:
+            self.refused_at = now
         if 1 <= fill < self.queue_ratio:
             self.queue_ratio += _REFUSAL_WEIGHT * (fill - self.queue_ratio)
 
--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -156,7 +156,7 @@
         if result is CallResult.answered:
             history.note_answer(now - placement.placed_at, fill)
         elif result is CallResult.refused:
-            history.note_server_refusal(fill)
+            history.note_server_refusal(fill, now)
 
     def _learn_forecast(
         self, placement: Placement, result: CallResult, now: float
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -203,6 +203,33 @@
     assert (refusal and refusal.reason) is reason
 
 
+@pytest.mark.parametrize(
+    ('refused_at', 'fill', 'is_refused'),
+    [
+        (None, 0.0, False),
+        (10.0, 1.5, True),
+        # It refused for another reason, or too long ago.
+        (10.0, 0.2, False),
+        (1.0, 1.5, False),
+    ],
+)
+def test_a_plain_service_is_full_only_if_its_servers_say_so(
+    refused_at: float | None, fill: float, *, is_refused: bool
+) -> None:
+    """
+    Guards against refusals for the calls of hosts that were killed.
+
+    After a kill of all 86 hosts of a played day, 211 calls were refused while
+    no server of their service had refused any.
+    """
+    controller = AdmissionController(Random(1))
+    if refused_at is not None:
+        controller.history_of('s').note_server_refusal(fill, refused_at)
+    call = AdmissionCall('s', 't', 1, 4.0, 0.8, 0.5, is_plain=True)
+    refusal = controller.decide(call, FULL, HOPELESS, 12.0)
+    assert (refusal is not None) is is_refused
+
+
 @pytest.mark.parametrize(('urgency', 'is_refused'), [(0, False), (2, True)])
 def test_less_urgent_calls_share_refusals(
     urgency: int, *, is_refused: bool
