--- a/src/burdockledge/autoscaling/_service_orders.py
+++ b/src/burdockledge/autoscaling/_service_orders.py
@@ -18,7 +18,7 @@
 # The servers of a fleet may register over a while. Their number counts as the
 # size before traffic when it has not changed for longer than a heartbeat
 # (1.2 s), or after a while of changes. Those that register later before
-# traffic are added: after 1 s, 39 of 45 were known on a played day.
+# traffic are added: after 1 s, 39 of 45 were known in a load test.
 _SETTLED_SECONDS: Final = 1.3
 _MAX_SETTLING_SECONDS: Final = 5.0
 # At this price, spot servers of half as many again as before still cost half
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -219,7 +219,7 @@
     """
     Guards against refusals for the calls of hosts that were killed.
 
-    After a kill of all 86 hosts of a played day, 211 calls were refused while
+    After a kill of all 86 hosts of a load test, 211 calls were refused while
     no server of their service had refused any.
     """
     controller = AdmissionController(Random(1))
--- a/tests/autoscaling/test_demand.py
+++ b/tests/autoscaling/test_demand.py
@@ -73,7 +73,7 @@
     """
     Guards against servers for the prompts of the first seconds.
 
-    A played day ordered 45 servers more, which booted as caches were warm.
+    A load test ordered 45 servers more, which booted as caches were warm.
     """
     history = ServiceDemand()
     for tick in range(64):
--- a/tests/autoscaling/test_reserve.py
+++ b/tests/autoscaling/test_reserve.py
@@ -138,7 +138,7 @@
     """
     Guards against servers that are taken for surplus.
 
-    On a played day 39 of 45 were known after 1 s, and 6 were removed.
+    In a load test 39 of 45 were known after 1 s, and 6 were removed.
     """
     scene = Scene({normal('a'): 13, normal('b'): 13, normal('c'): 13})
     scene.play(seconds)
