--- a/tests/test_host_stop.py
+++ b/tests/test_host_stop.py
@@ -44,6 +44,7 @@
 from burdockledge.peers import PeerKeys
 from burdockledge.telemetry import configure_logs
 from tests.platform_adapter.front_harness import make_settings
+from tests.ports import free_port
 
 async def hang(_):
     {work}
@@ -53,7 +54,9 @@
     loop.call_later(0.5, os.kill, os.getpid(), signal.SIGTERM)
     loop.call_later(0.5, print, 'SIGTERM')
     keys = PeerKeys(('a key of sixteen characters',), None)
-    settings = replace(make_settings(), grace_seconds=2.0)
+    settings = replace(
+        make_settings(), exchange_port=free_port(), grace_seconds=2.0
+    )
     await serve_host(settings, Path('/nonexistent'), 0, keys)
 
 configure_logs('info', 'h')
