Compute the urgency of a call by one function

The probe of a placement built a served call without a caller, by a cast, only to read its urgency. The rule is now the function urgency_of, which ServedCall and the probe call. No behaviour changes.

--- a/src/burdockledge/relay/_placement_probe.py
+++ b/src/burdockledge/relay/_placement_probe.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
-from burdockledge.calls import ForwardedCall, Prompt, RouteKind, Team
+from burdockledge.calls import Prompt, RouteKind, Team
 from burdockledge.quarantine import Verdict
 from burdockledge.relay._placer import ALL_BUSY, HOLD_LATENCY_TARGETS
 from burdockledge.relay._planned_stop import STOPPING
 from burdockledge.relay._replicated_state import STREAMS
-from burdockledge.relay._served_call import ServedCall
+from burdockledge.relay._served_call import urgency_of
 from burdockledge.relay._server_gate import Obstacle, ServerGate
 from burdockledge.scheduling import (
     LoadTracker,
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from burdockledge.calls import Route, ServerInstance
     from burdockledge.clock import Clock
-    from burdockledge.relay._ports import CallerPort
     from burdockledge.relay._replicated_state import ReplicatedRoutingState
     from burdockledge.relay._routes import RouteIndex
     from burdockledge.replication import GossipExchange
@@ -303,20 +302,10 @@
         return f'the route has no service {service}'
     urgency = question.urgency
     if urgency is None:
-        urgency = _urgency(route, team, question)
+        urgency = urgency_of(route, team)
     return _Call(service, route, urgency, question.prompt)
 
 
-def _urgency(route: Route, team: Team | None, question: ProbeQuestion) -> int:
-    """Return the urgency that a call has by its team and route."""
-    forwarded = ForwardedCall('', '', '', '', (), b'', None, None)
-    # Nothing is sent to the caller.
-    caller = cast('CallerPort', None)
-    return ServedCall(
-        forwarded, caller, route, team, question.service, 0, 0, 0
-    ).urgency
-
-
 __all__ = (
     'ExcludedServer',
     'PlacementProbe',
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -18,6 +18,16 @@
 _ROUTE_TIERS_PER_TEAM_TIER: Final = 3
 
 
+def urgency_of(route: Route, team: Team | None) -> int:
+    """Return the priority of a team's calls on a route; 0 is highest."""
+    route_tier = min(route.tier, _ROUTE_TIERS_PER_TEAM_TIER - 1)
+    if team is None or team.tier is None:
+        return route_tier
+    return min(
+        team.tier * _ROUTE_TIERS_PER_TEAM_TIER + route_tier, _LOWEST_URGENCY
+    )
+
+
 @dataclass(slots=True)
 class ServedCall:
     """
@@ -63,13 +73,7 @@
     @property
     def urgency(self) -> int:
         """The priority by the team's tier, then the route's; 0 is highest."""
-        route_tier = min(self.route.tier, _ROUTE_TIERS_PER_TEAM_TIER - 1)
-        if self.team is None or self.team.tier is None:
-            return route_tier
-        return min(
-            self.team.tier * _ROUTE_TIERS_PER_TEAM_TIER + route_tier,
-            _LOWEST_URGENCY,
-        )
+        return urgency_of(self.route, self.team)
 
     @property
     def lowered_urgency(self) -> int:
@@ -101,4 +105,4 @@
         return pause
 
 
-__all__ = ('ServedCall',)
+__all__ = ('ServedCall', 'urgency_of')
