Read the signed requests of operators in one place

The endpoints for prompt parts and for placements each checked method, MAC and body in the same lines. Both call read_signed now; statuses, texts and log lines are as before.

Checked by: ruff, flake8 of platform, mypy; pytest of the tests of both commands, the front, the names and the imports of a host, all passed.

--- a/src/burdockledge/platform/_part_endpoint.py
+++ b/src/burdockledge/platform/_part_endpoint.py
@@ -7,8 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from aiohttp.web_response import Response
-from pydantic import BaseModel, Field, ValidationError
+from pydantic import BaseModel, Field
+from result import Err
 
+from burdockledge.platform._signed_bodies import read_signed
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -21,10 +23,7 @@
 
 # What the MAC of a release covers besides its body.
 RELEASE_CONTEXT: Final = b'release a prompt part'
-_BAD_REQUEST: Final = 400
-_FORBIDDEN: Final = 403
 _NOT_FOUND: Final = 404
-_METHOD_NOT_ALLOWED: Final = 405
 _HEXADECIMAL: Final = 16
 
 
@@ -53,16 +52,16 @@
         if request.method == 'GET':
             listed = [asdict(part) for part in self._parts.guarded_parts()]
             return _json_response({'parts': listed})
-        if request.method != 'POST':
-            return Response(status=_METHOD_NOT_ALLOWED)
-        body = self._keys.verify_datagram(RELEASE_CONTEXT, await request.read())
-        if body is None:
-            _log.warning('Release fails authentication.')
-            return Response(status=_FORBIDDEN)
-        try:
-            release = PartRelease.model_validate_json(body)
-        except ValidationError as error:
-            return Response(status=_BAD_REQUEST, text=f'{error}\n')
+        signed = await read_signed(
+            request,
+            PartRelease,
+            self._keys,
+            RELEASE_CONTEXT,
+            'Release fails authentication.',
+        )
+        if isinstance(signed, Err):
+            return signed.err_value
+        release = signed.ok_value
         part_id = int(release.part, _HEXADECIMAL)
         if not self._parts.release(release.service, part_id):
             return Response(status=_NOT_FOUND, text='nothing is known of it\n')
--- a/src/burdockledge/platform/_place_endpoint.py
+++ b/src/burdockledge/platform/_place_endpoint.py
@@ -11,14 +11,14 @@
     BaseModel,
     ConfigDict,
     Field,
-    ValidationError,
     model_validator,
 )
+from result import Err
 
 from burdockledge.calls import Prompt, PromptPart
 from burdockledge.platform._calls import PART_ID_MASK
+from burdockledge.platform._signed_bodies import read_signed
 from burdockledge.relay import ProbeQuestion
-from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
@@ -28,16 +28,11 @@
     from burdockledge.relay import PlacementProbe, ProbeAnswer
     from burdockledge.scheduling import ServerCost
 
-_log = make_logger('operators')
-
 # What the MAC of a question covers besides its body.
 PLACE_CONTEXT: Final = b'ask where a call would go'
 _MAX_TOKENS: Final = 10_000_000
 _MAX_PARTS: Final = 1024
 _MAX_URGENCY: Final = 9
-_BAD_REQUEST: Final = 400
-_FORBIDDEN: Final = 403
-_METHOD_NOT_ALLOWED: Final = 405
 _HEXADECIMAL: Final = 16
 
 
@@ -105,17 +100,16 @@
 
     async def handle(self, request: BaseRequest) -> Response:
         """Respond to one request."""
-        if request.method != 'POST':
-            return Response(status=_METHOD_NOT_ALLOWED)
-        body = self._keys.verify_datagram(PLACE_CONTEXT, await request.read())
-        if body is None:
-            _log.warning('Question about a call fails authentication.')
-            return Response(status=_FORBIDDEN)
-        try:
-            question = PlaceQuestion.model_validate_json(body)
-        except ValidationError as error:
-            return Response(status=_BAD_REQUEST, text=f'{error}\n')
-        answer = self._probe.ask(question.probe_question())
+        question = await read_signed(
+            request,
+            PlaceQuestion,
+            self._keys,
+            PLACE_CONTEXT,
+            'Question about a call fails authentication.',
+        )
+        if isinstance(question, Err):
+            return question.err_value
+        answer = self._probe.ask(question.ok_value.probe_question())
         return Response(
             body=json.dumps(_document(answer)).encode(),
             content_type='application/json',
