--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,13 +5,13 @@
 import asyncio
 import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
 from standins_2.caller import Answer, Channel
 from standins_2.engine import HEARTBEAT_SECONDS, Engine, Run
 from standins_2.host import Host
+from standins_2.script import run_script
 from standins_2.store import Store
 
 HERE = Path(__file__).resolve().parent
@@ -218,14 +218,5 @@
     return int(lost > MOST_LOST)
 
 
-def main() -> int:
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(asyncio.wait_for(play(Path(folder)), 100))
-    except Exception as error:
-        print(f'the case could not run: {error!r}')
-        return 2
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(run_script(play))
