Show that crowds with bodies take a host over its memory

tests/flood runs one test at a time now, after all others: its tests measure the memory of processes.

--- a/tests/flood/crowded_gateway.py
+++ b/tests/flood/crowded_gateway.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
+import ssl
 import sys
 from pathlib import Path
 from typing import Final
 
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from burdockledge.configuration import hash_key
 from burdockledge.standins import LogSettings, LogStandIn
+from tests.gateway.running_host import (
+    OPERATOR_KEY,
+    TEAM_KEY,
+    make_configuration,
+)
 from tests.platform_adapter.standin_server import send_and_receive
 from tests.ports import free_port
 from tests.soak._hosts import ROOT
@@ -18,18 +27,47 @@
 HEALTH_REQUEST: Final = (
     b'GET /health HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
 )
+LEDGER_PATH: Final = '/v1/services/ledger/x'
 _READY_SECONDS: Final = 15.0
+_SERVICE_SECONDS: Final = 1.5
+_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+
+async def _respond_late(request: web.Request) -> web.Response:
+    """Read a call of a service, and keep its caller waiting."""
+    await request.read()
+    await asyncio.sleep(_SERVICE_SECONDS)
+    return web.Response(text='fine')
+
+
+def ledger_request(size: int) -> bytes:
+    """Return a call of the slow service, on a connection that is kept."""
+    return (
+        f'POST {LEDGER_PATH} HTTP/1.1\r\nHost: h\r\n'
+        f'Authorization: Bearer {TEAM_KEY}\r\n'
+        f'Burdockledge-Idempotent: true\r\nContent-Length: {size}\r\n\r\n'
+    ).encode() + b'z' * size
 
 
 class CrowdedGateway:
     """One process with limits of memory and descriptors."""
 
-    def __init__(self, folder: Path, limits: dict[str, int]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        limits: dict[str, object],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         """
         Create a gateway without starting its process.
 
         :param limits: settings by name.
+        :param tls: with which to call it, None without TLS.
         """
+        self._tls = tls
+        service = web.Application(client_max_size=_MAX_BODY_BYTES)
+        service.router.add_route('*', '/{tail:.*}', _respond_late)
+        self._service_server = TestServer(service)
         self._log_path = folder / 'serve.log'
         self._limits = limits
         self.ip = '127.0.0.1'
@@ -50,6 +88,7 @@
             'peer_address': f'{self.ip}:{free_port()}',
             'log_url': str(self._log_server.make_url('')).rstrip('/'),
             'peer_keys': 'a key of sixteen characters',
+            'operator_key_hashes': hash_key(OPERATOR_KEY),
             **{name: str(limit) for name, limit in self._limits.items()},
         }
         settings = {
@@ -73,11 +112,32 @@
             self.process.kill()
         await self.process.wait()
         await self._log_server.close()
+        await self._service_server.close()
+
+    async def publish_service(self) -> None:
+        """Publish a configuration with the slow service."""
+        await self._service_server.start_server()
+        url = str(self._service_server.make_url('')).rstrip('/')
+        body = json.dumps(
+            {'id': 'p', 'base': 0, 'patch': make_configuration(url, url)}
+        )
+        answer = await self.call(
+            (
+                'POST /admin/configuration/patches HTTP/1.1\r\nHost: h\r\n'
+                f'Authorization: Bearer {OPERATOR_KEY}\r\n'
+                'Connection: close\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'
+            ).encode()
+        )
+        if not answer.startswith(b'HTTP/1.1 200'):
+            raise RuntimeError(answer)
 
     async def call(self, request: bytes) -> bytes:
         """Send a request; return what is answered in time."""
         try:
-            return await send_and_receive(f'{self.ip}:{self.port}', request)
+            return await send_and_receive(
+                f'{self.ip}:{self.port}', request, tls=self._tls
+            )
         except OSError:
             return b''
 
@@ -91,4 +151,9 @@
         return len(os.listdir(f'/proc/{self.process.pid}/fd'))
 
 
-__all__ = ('HEALTH_REQUEST', 'CrowdedGateway')
+__all__ = (
+    'HEALTH_REQUEST',
+    'LEDGER_PATH',
+    'CrowdedGateway',
+    'ledger_request',
+)
--- a/tests/flood/flooded_host.py
+++ b/tests/flood/flooded_host.py
@@ -96,6 +96,10 @@
         """Return the memory that the process holds now."""
         return self._status('VmRSS')
 
+    def anonymous_mebibytes(self) -> float:
+        """Return the memory of no file that the process holds now."""
+        return self._status('RssAnon')
+
     def peak_mebibytes(self) -> float:
         """Return the most memory that the process has held."""
         return self._status('VmHWM')
@@ -114,6 +118,18 @@
             f'{self.ip}:{PORTS["front"]}', request, seconds
         )
 
+    async def counted_mebibytes(self) -> float:
+        """Return what the host counts as held for callers."""
+        text = await send_and_receive(
+            f'{self.ip}:{PORTS["control"]}',
+            b'GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n',
+        )
+        return sum(
+            float(line.rpartition(' ')[2])
+            for line in text.decode().splitlines()
+            if line.startswith('burdockledge_caller_held_bytes{')
+        ) / (1024 * 1024)
+
     async def open_silent_caller(self) -> asyncio.StreamWriter:
         """Open the connection of a caller who reads nothing."""
         reader, writer = await asyncio.open_connection(
--- a/tests/flood/hostile_crowds.py
+++ b/tests/flood/hostile_crowds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ssl
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -24,26 +25,32 @@
     """
     Connections that each send the same bytes and read nothing.
 
-    ``pieces`` are sent one after another, each as the one before has left.
+    ``pieces`` are sent one after another, each as the one before has left
+    and ``pause_seconds`` have passed.
     """
 
     name: str
     port: str
     count: int
     pieces: Callable[[], Iterator[bytes]]
+    pause_seconds: float = 0
 
 
-async def hold_connection(ip: str, port: int, crowd: Crowd) -> None:
+async def hold_connection(
+    ip: str, port: int, crowd: Crowd, tls: ssl.SSLContext | None = None
+) -> None:
     """Send the bytes of one connection, and keep it until it is closed."""
     with contextlib.suppress(OSError):
-        reader, writer = await asyncio.open_connection(ip, port, limit=1)
+        reader, writer = await asyncio.open_connection(
+            ip, port, limit=1, ssl=tls
+        )
         # The kernel's buffer fills, then what the host sends waits in it.
         writer.transport.pause_reading()
         try:
             for piece in crowd.pieces():
                 writer.write(piece)
                 await writer.drain()
-                await asyncio.sleep(0)
+                await asyncio.sleep(crowd.pause_seconds)
             await reader.read()
         finally:
             writer.transport.abort()
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 import pytest
@@ -26,14 +27,42 @@
     """Install the plugin if a list is given."""
     path = config.getoption(_LIST_OPTION)
     if path:
-        config.pluginmanager.register(KnownRed(Path(path)))
+        config.pluginmanager.register(
+            KnownRed(
+                Path(path),
+                _prefixes(config, config.args),
+                _prefixes(config, config.getoption('--ignore') or []),
+            )
+        )
+
+
+def _prefixes(config: pytest.Config, paths: list[str]) -> tuple[str, ...]:
+    """Return how the ids of tests below some paths begin."""
+    return tuple(
+        os.path.relpath(
+            config.invocation_params.dir / path, config.rootpath
+        ).removeprefix('.')
+        for path in paths
+    )
 
 
 class KnownRed:
     """Treats the listed tests, by their node ids, as expected failures."""
 
-    def __init__(self, path: Path) -> None:
-        """Read the list: the lines that begin with ``test:``."""
+    def __init__(
+        self,
+        path: Path,
+        selected: tuple[str, ...],
+        ignored: tuple[str, ...],
+    ) -> None:
+        """
+        Read the list: the lines that begin with ``test:``.
+
+        :param selected: how the ids of the tests of this run begin.
+        :param ignored: the same for those that it leaves out.
+        """
+        self._selected = selected
+        self._ignored = ignored
         lines = path.read_text('utf-8').splitlines() if path.exists() else []
         self._listed = {
             line.removeprefix('test:').strip()
@@ -69,4 +98,11 @@
     ) -> None:
         """Print the result of each listed test."""
         for node_id, result in sorted(self._results.items()):
-            terminalreporter.write_line(f'KNOWN-RED {node_id}: {result}')
+            if self._is_selected(node_id):
+                terminalreporter.write_line(f'KNOWN-RED {node_id}: {result}')
+
+    def _is_selected(self, node_id: str) -> bool:
+        """Return whether the arguments of the run include a test."""
+        return node_id.startswith(self._selected) and not node_id.startswith(
+            self._ignored
+        )
--- a/tests/platform_adapter/standin_server.py
+++ b/tests/platform_adapter/standin_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import ssl
 import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -114,11 +115,14 @@
 
 
 async def send_and_receive(
-    address: str, request: bytes, timeout_seconds: float = 2
+    address: str,
+    request: bytes,
+    timeout_seconds: float = 2,
+    tls: ssl.SSLContext | None = None,
 ) -> bytes:
     """Return what arrives until the peer closes or the timeout expires."""
     ip, _, port = address.partition(':')
-    reader, writer = await asyncio.open_connection(ip, int(port))
+    reader, writer = await asyncio.open_connection(ip, int(port), ssl=tls)
     writer.write(request)
     received = b''
     try:
--- a/tests/run_known_red.py
+++ b/tests/run_known_red.py
@@ -1,30 +1,48 @@
-"""Run the test suite with the expected failures listed in KNOWN-RED.txt."""
+"""
+Run the test suite with the expected failures listed in KNOWN-RED.txt.
+
+The tests that measure the memory of processes run one at a time, after all
+others.
+"""
 
 from __future__ import annotations
 
+import subprocess
 import sys
 from pathlib import Path
 
-import pytest
-
 _ROOT = Path(__file__).parent.parent
-# tests/processes waits in real time; `make processes` runs it separately.
-PYTEST_ARGUMENTS = (
-    'tests',
-    '--ignore=tests/processes',
-    '-n',
-    'auto',
+_SERIAL_TESTS = 'tests/flood'
+_SHARED_ARGUMENTS = (
     '--timeout=300',
     '-p',
     'tests.known_red',
     f'--known-red={_ROOT / "KNOWN-RED.txt"}',
 )
+# tests/processes waits in real time; `make processes` runs it separately.
+_RUNS = (
+    (
+        'tests',
+        '--ignore=tests/processes',
+        f'--ignore={_SERIAL_TESTS}',
+        '-n',
+        'auto',
+    ),
+    (_SERIAL_TESTS,),
+)
 
 
 def main() -> int:
-    """Run pytest from the root of the project."""
-    sys.path.insert(0, str(_ROOT))
-    return int(pytest.main([*PYTEST_ARGUMENTS, *sys.argv[1:]]))
+    """Run pytest from the root of the project; return the worst exit code."""
+    command = (sys.executable, '-m', 'pytest')
+    return max(
+        subprocess.run(
+            (*command, *arguments, *_SHARED_ARGUMENTS, *sys.argv[1:]),
+            cwd=_ROOT,
+            check=False,
+        ).returncode
+        for arguments in _RUNS
+    )
 
 
 if __name__ == '__main__':
