Count bodies and calls until nobody holds them, and admit them by room

Callers saw a host end: 560 bodies of 60 KB that stop one byte short took a process of 88 MiB to 95 MiB, in chunks to 116, whole ones of 50 KB at a slow server to 97; a gateway reached 112, 172 and 97. The memory stayed (27 to 42 of 30 MiB of room) once they had left.

Cause: a body counted only until it was whole, was read before the budget could refuse it (64 KiB from each of all sockets in one turn), was kept as parts and as their join, and once more in the buffer to its server. Calls and connections did not count.

Each request takes room now before more than 8 KiB are read of it, for its body as a whole and for its call, and holds it until the body has been sent and is not needed again, and the call is answered. Without room a request waits for a second and gets 503 with Retry-After then; of bodies of unknown length that grow, the oldest waits and the others are refused, so that they don't wait for each other. Requests that are whole go first, and large bodies leave them a quarter. While others wait, a body that has not grown by 8 KiB in half a second is closed with 408. Bodies go to servers in parts of 16 KiB.

--- a/src/burdockledge/calls/__init__.py
+++ b/src/burdockledge/calls/__init__.py
@@ -4,6 +4,7 @@
 
 from burdockledge.calls._types import (
     AutoscaleConfiguration,
+    CallBody,
     CallerLimits,
     EngineConfiguration,
     ForwardedCall,
@@ -21,6 +22,7 @@
 
 __all__ = (
     'AutoscaleConfiguration',
+    'CallBody',
     'CallerLimits',
     'EngineConfiguration',
     'ForwardedCall',
--- a/src/burdockledge/calls/_types.py
+++ b/src/burdockledge/calls/_types.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import enum
+from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
 
 
 class RouteKind(enum.Enum):
@@ -172,6 +176,55 @@
         return self.parts[:-1]
 
 
+class CallBody:
+    """
+    The body of a call, which is kept as long as it may have to be sent.
+
+    ``on_end`` is called once the body is kept no longer.
+    """
+
+    __slots__ = ('_content', '_is_needed', '_on_end', '_sends', 'size')
+
+    def __init__(
+        self,
+        content: bytes | bytearray = b'',
+        on_end: Callable[[], None] | None = None,
+    ) -> None:
+        """Keep the bytes of a body."""
+        self.size = len(content)
+        self._content = content
+        self._on_end = on_end
+        self._is_needed = True
+        self._sends = 0
+
+    @property
+    def content(self) -> bytes | bytearray:
+        """The bytes, none once the body was given up."""
+        return self._content
+
+    def give_up(self) -> None:
+        """Keep the body only until it has been sent completely."""
+        self._is_needed = False
+        self._end_if_unused()
+
+    @contextmanager
+    def sending(self) -> Iterator[bytes | bytearray]:
+        """Keep the body within the ``with`` block, and return its bytes."""
+        self._sends += 1
+        try:
+            yield self._content
+        finally:
+            self._sends -= 1
+            self._end_if_unused()
+
+    def _end_if_unused(self) -> None:
+        if self._is_needed or self._sends or not self._content:
+            return
+        self._content = b''
+        if self._on_end is not None:
+            self._on_end()
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedCall:
     """
@@ -188,7 +241,7 @@
     target: str
     http_host: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: CallBody
     api_key: str | None
     caller_timeout_seconds: float | None
     prompt: Prompt = field(default_factory=Prompt)
@@ -229,6 +282,7 @@
 
 __all__ = (
     'AutoscaleConfiguration',
+    'CallBody',
     'CallerLimits',
     'EngineConfiguration',
     'ForwardedCall',
--- a/src/burdockledge/connections/__init__.py
+++ b/src/burdockledge/connections/__init__.py
@@ -1,5 +1,10 @@
 """Bounds what all connections of callers together may take from a host."""
 
+from burdockledge.connections._bodies import (
+    Body,
+    BodyFailure,
+    receive_body,
+)
 from burdockledge.connections._guard import ConnectionGuard, GuardedTransport
 from burdockledge.connections._holdings import (
     CloseCause,
@@ -10,8 +15,17 @@
 from burdockledge.connections._limits import ConnectionLimits, derive_limits
 from burdockledge.connections._listening import listen
 from burdockledge.connections._protocol import GuardedConnection
+from burdockledge.connections._rooms import (
+    CALL_BYTES,
+    Room,
+    RoomKeeper,
+    RoomRefusal,
+)
 
 __all__ = (
+    'CALL_BYTES',
+    'Body',
+    'BodyFailure',
     'CloseCause',
     'ConnectionGuard',
     'ConnectionLimits',
@@ -19,7 +33,11 @@
     'GuardedTransport',
     'HeldBytes',
     'Holding',
+    'Room',
+    'RoomKeeper',
+    'RoomRefusal',
     'choose_closed',
     'derive_limits',
     'listen',
+    'receive_body',
 )
--- /dev/null
+++ b/src/burdockledge/connections/_bodies.py
@@ -0,0 +1,155 @@
+"""Receives the bodies of requests within the room that they are granted."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING, Final, cast
+
+from aiohttp.web_protocol import RequestPayloadError
+from result import Err, Ok, Result
+
+from burdockledge.connections._rooms import RoomRefusal
+from burdockledge.http_client import READ_BYTES
+
+if TYPE_CHECKING:
+    from aiohttp.web_request import BaseRequest
+
+    from burdockledge.connections._protocol import GuardedConnection
+
+# Room that a body of unknown length has at least beyond what was received.
+_UNREAD_BYTES: Final = 3 * READ_BYTES
+
+
+class BodyFailure(enum.Enum):
+    """Why a body was not received."""
+
+    too_large = 'the body is too large'
+    stopped = 'the body stopped'
+    broken = 'the body is broken'
+
+
+Body = bytes | bytearray
+
+
+async def receive_body(
+    request: BaseRequest,
+    max_bytes: int,
+    idle_seconds: float | None = None,
+    factor: int = 1,
+) -> Result[Body, BodyFailure | RoomRefusal]:
+    """
+    Return the whole body of a request, once there is room for its call.
+
+    The room is held until the request is answered, unless the body is given
+    up before.
+
+    :param max_bytes: the largest body that is allowed.
+    :param idle_seconds: the time limit between two parts of the body.
+    :param factor: how many bytes are held for each byte of the body.
+    """
+    connection = cast('GuardedConnection', request.protocol)
+    length = _body_length(request)
+    if (length or 0) > max_bytes:
+        return Err(BodyFailure.too_large)
+    first_bytes = _UNREAD_BYTES if length is None else length
+    taken = await connection.take_room(
+        first_bytes * factor, is_whole=request.content.is_eof()
+    )
+    if isinstance(taken, Err):
+        return Err(taken.err_value)
+    if not request.body_exists:
+        return Ok(b'')
+    request.content.set_read_chunk_size(READ_BYTES)
+    receiver = _Receiver(request, connection, max_bytes, idle_seconds)
+    if length is None:
+        return await receiver.receive(partial(_grow, connection, factor))
+    return await receiver.receive(_keep_size)
+
+
+_Grow = Callable[[int], Awaitable[Result[None, RoomRefusal]]]
+
+
+def _body_length(request: BaseRequest) -> int | None:
+    """Return the bytes that a body will have, None if that is not known."""
+    if not request.body_exists:
+        return 0
+    if request.content.is_eof():
+        return request.content.total_bytes
+    if 'Content-Encoding' in request.headers:
+        # Its length may be that of a compressed body.
+        return None
+    return request.content_length
+
+
+async def _keep_size(received: int) -> Result[None, RoomRefusal]:
+    """Add no room: the whole body has some."""
+    return Ok(None)
+
+
+async def _grow(
+    connection: GuardedConnection, factor: int, received: int
+) -> Result[None, RoomRefusal]:
+    """Add room for a body of unknown length as it becomes scarce."""
+    needed = (received + _UNREAD_BYTES) * factor
+    if needed <= connection.room_bytes:
+        return Ok(None)
+    return await connection.grow_room(needed)
+
+
+class _Receiver:
+    """Receives one body."""
+
+    def __init__(
+        self,
+        request: BaseRequest,
+        connection: GuardedConnection,
+        max_bytes: int,
+        idle_seconds: float | None,
+    ) -> None:
+        self._content = request.content
+        self._connection = connection
+        self._max_bytes = max_bytes
+        self._idle_seconds = idle_seconds
+
+    async def receive(
+        self, grow: _Grow
+    ) -> Result[Body, BodyFailure | RoomRefusal]:
+        """
+        Return the body; its parts are joined as they come.
+
+        :param grow: called with the bytes that were received.
+        """
+        first = await self._receive_part()
+        is_complete = isinstance(first, Err) or self._content.at_eof()
+        if is_complete and len(first.unwrap_or(b'')) <= self._max_bytes:
+            self._connection.end_receiving()
+            return first
+        body = bytearray()
+        received: Result[bytes, BodyFailure] = first
+        while isinstance(received, Ok) and received.ok_value:
+            body += received.ok_value
+            self._connection.note_received(len(received.ok_value))
+            if len(body) > self._max_bytes:
+                return Err(BodyFailure.too_large)
+            grown = await grow(len(body))
+            if isinstance(grown, Err):
+                return grown
+            received = await self._receive_part()
+        self._connection.end_receiving()
+        return received if isinstance(received, Err) else Ok(body)
+
+    async def _receive_part(self) -> Result[bytes, BodyFailure]:
+        """Return the next bytes of the body, empty at its end."""
+        try:
+            async with asyncio.timeout(self._idle_seconds):
+                return Ok(await self._content.readany())
+        except TimeoutError:
+            return Err(BodyFailure.stopped)
+        except RequestPayloadError:
+            return Err(BodyFailure.broken)
+
+
+__all__ = ('Body', 'BodyFailure', 'receive_body')
--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -14,7 +14,11 @@
     Holding,
     choose_closed,
 )
-from burdockledge.connections._limits import SPARE_CONNECTIONS
+from burdockledge.connections._limits import (
+    CONNECTION_BYTES,
+    SPARE_CONNECTIONS,
+)
+from burdockledge.connections._rooms import CALL_BYTES, RoomKeeper
 from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
@@ -28,7 +32,10 @@
 # Postponed pieces that are parsed in one turn of the event loop, of all
 # connections together: 2 KiB of one-byte chunks take about 1 ms each.
 _PIECES_PER_TURN: Final = 4
-_KINDS: Final = ('heads', 'bodies', 'requests', 'responses')
+_MEASURED_KINDS: Final = ('heads', 'requests', 'responses')
+# What connections hold besides bodies and calls may take this part of the
+# bound in any case.
+_KEPT_DIVISOR: Final = 4
 
 
 class GuardedTransport(ABC):
@@ -45,6 +52,11 @@
     def is_idle(self) -> bool:
         """Whether the connection waits for the head of a request."""
 
+    @property
+    @abstractmethod
+    def room_bytes(self) -> int:
+        """What the request in progress holds for its body and its call."""
+
     @abstractmethod
     def holds_nothing(self) -> bool:
         """Return whether there is nothing to count, at little cost."""
@@ -81,15 +93,12 @@
         self._clock = clock
         self._connections: set[GuardedTransport] = set()
         self._total = 0
+        self.rooms: RoomKeeper[GuardedTransport] = RoomKeeper(
+            clock, limits.held_bytes, self._other_bytes, self._close_stalled
+        )
         self._postponed: deque[GuardedTransport] = deque()
         self._is_turn_due = False
-        metrics.set_gauge_function(
-            'caller_connections', lambda: len(self._connections)
-        )
-        for kind in _KINDS:
-            metrics.set_gauge_function(
-                'caller_held_bytes', partial(self._sum_kind, kind), kind=kind
-            )
+        self._register_gauges()
 
     def add(self, connection: GuardedTransport) -> None:
         """Count a new connection; close others if there are too many."""
@@ -120,7 +129,7 @@
         if connection not in self._connections:
             return
         self._count(connection)
-        if self._total > self.limits.held_bytes:
+        if self._total > self._max_measured_bytes():
             self._close_some(len(self._connections), CloseCause.memory)
 
     def postpone(self, connection: GuardedTransport) -> None:
@@ -137,7 +146,7 @@
             why=cause.value,
             held=held_bytes,
             connections=len(self._connections),
-            held_by_all=self._total,
+            held_by_all=self._other_bytes() + self.rooms.taken_bytes,
         )
 
     def _max_count(self, connection: GuardedTransport) -> int:
@@ -167,7 +176,8 @@
             for connection in self._connections
         ]
         self._close(
-            choose_closed(holdings, self.limits.held_bytes, max_count), cause
+            choose_closed(holdings, self._max_measured_bytes(), max_count),
+            cause,
         )
 
     def _close(
@@ -179,6 +189,46 @@
             self.note_close(cause, held_bytes)
             connection.close_for(cause)
 
+    def _register_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.set_gauge_function(
+            'caller_connections', lambda: len(self._connections)
+        )
+        metrics.set_gauge_function(
+            'caller_requests_waiting', lambda: self.rooms.waiting_count
+        )
+        metrics.set_gauge_function(
+            'caller_held_bytes_limit', lambda: self.limits.held_bytes
+        )
+        functions: dict[str, Callable[[], int]] = {
+            kind: partial(self._sum_kind, kind) for kind in _MEASURED_KINDS
+        }
+        functions['connections'] = self._connection_bytes
+        functions['calls'] = lambda: self.rooms.request_count * CALL_BYTES
+        functions['bodies'] = lambda: (
+            self.rooms.body_bytes + self._sum_kind('bodies')
+        )
+        for kind, function in functions.items():
+            metrics.set_gauge_function('caller_held_bytes', function, kind=kind)
+
+    def _connection_bytes(self) -> int:
+        return len(self._connections) * CONNECTION_BYTES
+
+    def _other_bytes(self) -> int:
+        return self._connection_bytes() + self._total
+
+    def _max_measured_bytes(self) -> int:
+        limit = self.limits.held_bytes
+        return max(
+            limit // _KEPT_DIVISOR,
+            limit - self.rooms.taken_bytes - self._connection_bytes(),
+        )
+
+    def _close_stalled(self, connection: GuardedTransport) -> None:
+        """Close a connection whose body does not grow while others wait."""
+        self.note_close(CloseCause.stalled, connection.room_bytes)
+        connection.close_for(CloseCause.stalled)
+
     def _sum_kind(self, kind: str) -> int:
         totals: Counter[str] = Counter()
         for connection in self._connections:
--- a/src/burdockledge/connections/_holdings.py
+++ b/src/burdockledge/connections/_holdings.py
@@ -26,6 +26,7 @@
     memory = 'the connections hold too much'
     connections = 'there are too many connections'
     framing = 'too much framing for its body'
+    stalled = 'its body does not grow while other requests wait for room'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/connections/_limits.py
+++ b/src/burdockledge/connections/_limits.py
@@ -16,6 +16,8 @@
 # More would not serve ordinary callers, and the memory beside the calm figure
 # has to stay under 120 MiB with large answers (16 MiB) and calls in flight.
 MAX_HELD_BYTES: Final = 32 * _MEBIBYTE
+# The protocol, parser, task and transport of an open connection.
+CONNECTION_BYTES: Final = 12 * 1024
 # Files, the store, other hosts and listeners.
 _RESERVED_DESCRIPTORS: Final = 200
 # A caller's call may need a connection to a server.
@@ -73,4 +75,9 @@
     )
 
 
-__all__ = ('SPARE_CONNECTIONS', 'ConnectionLimits', 'derive_limits')
+__all__ = (
+    'CONNECTION_BYTES',
+    'SPARE_CONNECTIONS',
+    'ConnectionLimits',
+    'derive_limits',
+)
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -7,21 +7,29 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+from result import Err, Ok, Result
 
 from burdockledge.connections._guard import GuardedTransport
 from burdockledge.connections._holdings import CloseCause, HeldBytes
+from burdockledge.connections._rooms import Room, RoomRefusal
 from burdockledge.http_client import READ_BYTES
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Awaitable, Callable
 
     from aiohttp.streams import StreamReader
+    from aiohttp.web_request import BaseRequest
+    from aiohttp.web_response import StreamResponse
     from aiohttp.web_server import Server
 
     from burdockledge.connections._guard import ConnectionGuard
 
-# Parsed at once: the text of an error holds what could not be parsed.
+# Parsed at once: the text of an error holds what could not be parsed. Also what
+# is read from the socket at once before there is room for a body.
 _PARSE_BYTES: Final = 8 * 1024
+# What a body may have unread before there is room for it is twice this.
+_UNADMITTED_BYTES: Final = 2 * 1024
 # Of a body whose framing takes more than a quarter of its bytes; 2 KiB of
 # one-byte chunks take about 1 ms.
 _SMALL_PARSE_BYTES: Final = 2 * 1024
@@ -56,8 +64,9 @@
         self, server: Server, guard: ConnectionGuard, **options: Any
     ) -> None:
         """Create a connection; the other options are those of aiohttp."""
-        super().__init__(server, **options)
+        super().__init__(server, read_bufsize=_UNADMITTED_BYTES, **options)
         self._guard = guard
+        self._room: Room[GuardedTransport] | None = None
         self._backlog = bytearray()
         # Whether bytes came that are no request.
         self._is_broken = False
@@ -65,9 +74,8 @@
         self._last_payload: StreamReader = EMPTY_PAYLOAD
         self._framing_bytes = 0
         self._has_heavy_framing = False
-        # Bytes of a body that its handler has read and keeps, and of a
-        # response that waits until the caller has read what is before it.
-        self.collected_bytes = 0
+        # Bytes of a response that waits until the caller has read what is
+        # before it.
         self.response_bytes = 0
 
     @property
@@ -75,6 +83,11 @@
         """Whether the connection waits for the head of a request."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def room_bytes(self) -> int:
+        """What the request in progress holds for its body and its call."""
+        return 0 if self._room is None else self._room.size
+
     @property
     def _awaits_request_head(self) -> bool:
         return not self._messages and self._current_request is None
@@ -98,7 +111,8 @@
             requests += waiting * _REQUEST_BYTES + sum(
                 _unread_size(payload) for _, payload in self._messages
             )
-        bodies = self.collected_bytes + _unread_size(self._last_payload)
+        # Room for the body of the request in progress is counted apart.
+        bodies = 0 if self._room else _unread_size(self._last_payload)
         transport = self.transport
         responses = self.response_bytes
         if transport is not None and self._paused:
@@ -116,16 +130,16 @@
         """
         if self._messages and (self._waiter is None or len(self._messages) > 1):
             return False
-        if self._paused or not self._last_payload.is_eof():
+        if self._paused:
+            return False
+        if self._room is None and not self._last_payload.is_eof():
             return False
-        held = self._head_bytes + self.collected_bytes + self.response_bytes
-        return not (held or self._backlog)
+        return not (self._head_bytes or self.response_bytes or self._backlog)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection, and limit what is read at once."""
-        socket_transport: Any = transport
-        socket_transport.max_size = READ_BYTES
         super().connection_made(transport)
+        self._limit_read(_PARSE_BYTES)
         self._guard.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -164,6 +178,46 @@
         if self.counted_bytes or not self.holds_nothing():
             self._guard.note(self)
 
+    async def take_room(
+        self, body_bytes: int, *, is_whole: bool
+    ) -> Result[None, RoomRefusal]:
+        """
+        Hold room for the request in progress until it is answered.
+
+        :param is_whole: whether its body has been received completely.
+        """
+        taken = await self._guard.rooms.take(
+            self, body_bytes, is_whole=is_whole
+        )
+        if isinstance(taken, Err):
+            return Err(taken.err_value)
+        self._room = taken.ok_value
+        if not is_whole:
+            self._limit_read(READ_BYTES)
+        if self.counted_bytes:
+            self._guard.note(self)
+        return Ok(None)
+
+    async def grow_room(self, size: int) -> Result[None, RoomRefusal]:
+        """Hold this much for a body of unknown length."""
+        if self._room is None:
+            return Ok(None)
+        return await self._guard.rooms.grow(self._room, size - self._room.size)
+
+    def note_received(self, size: int) -> None:
+        """Record that a part of the body in progress was read."""
+        if self._room is not None:
+            self._room.note_received(size)
+
+    def end_receiving(self) -> None:
+        """Record that the body in progress is whole."""
+        if self._room is not None:
+            self._room.is_receiving = False
+
+    def keep_body(self) -> Callable[[], None] | None:
+        """Hold the room of the body until a function is called."""
+        return None if self._room is None else self._room.keep_body()
+
     def parse_next(self) -> bool:
         """Parse one postponed piece; return whether another can follow."""
         if self._force_close or self.transport is None:
@@ -190,18 +244,45 @@
         """
         Close the connection at once, and drop what it holds.
 
-        A request whose head is not whole gets 408: it has not run.
+        A request whose head or body is not whole gets 408: it has not run.
         """
         transport = self.transport
         if transport is None:
             return
-        if self._awaits_request_head and not self._paused and self._head_bytes:
+        is_in_head = self._awaits_request_head and self._head_bytes
+        is_in_body = self._room is not None and self._room.is_receiving
+        if (is_in_head or is_in_body) and not self._paused:
             transport.write(_REQUEST_TIMEOUT_RESPONSE)
             self.force_close()
         else:
             transport.abort()
         self._backlog.clear()
 
+    async def _handle_request(
+        self,
+        request: BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
+    ) -> tuple[StreamResponse, bool]:
+        try:
+            return await super()._handle_request(
+                request, start_time, request_handler
+            )
+        finally:
+            self._close_room()
+
+    def _close_room(self) -> None:
+        if self._room is not None:
+            self._room.close()
+            self._room = None
+            self._limit_read(_PARSE_BYTES)
+
+    def _limit_read(self, size: int) -> None:
+        """Limit what is read from the socket at once."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.max_size = size
+
     def _resume_reading_if_drained(self) -> None:
         super()._resume_reading_if_drained()
         if self._backlog and self._can_parse:
@@ -285,7 +366,6 @@
         """Free what a task of the connection would keep until it ends."""
         self._backlog.clear()
         self._last_payload = EMPTY_PAYLOAD
-        self.collected_bytes = 0
         self.response_bytes = 0
 
 
--- a/src/burdockledge/gateway/_admission.py
+++ b/src/burdockledge/gateway/_admission.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from burdockledge.configuration import hash_key
+from burdockledge.connections import BodyFailure, RoomRefusal, receive_body
 from burdockledge.execution import RequestContext
 from burdockledge.gateway._errors import ApiError
 
@@ -25,6 +26,8 @@
 REQUEST_ID_BYTES: Final = 16
 _BEARER_PREFIX: Final = 'Bearer '
 _ONE_SECOND_MS: Final = 1000
+# A body, what is parsed from it, and what is sent to a server.
+_BODY_FACTOR: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,21 +122,16 @@
         request: web.Request,
     ) -> Result[bytes, ApiError]:
         """Read the whole body within the size limit and the time limit."""
-        max_bytes = self._components.settings.max_body_bytes
         timeout_seconds = self._components.settings.header_timeout_seconds
         lifecycle = self._components.lifecycle
         try:
             async with asyncio.timeout(timeout_seconds):
                 with lifecycle.track_body():
-                    return Ok(await request.read())
-        except web.HTTPRequestEntityTooLarge:
-            return Err(
-                ApiError(
-                    413,
-                    'body_too_large',
-                    f'the body is larger than {max_bytes} bytes',
-                ),
-            )
+                    received = await receive_body(
+                        request,
+                        self._components.settings.max_body_bytes,
+                        factor=_BODY_FACTOR,
+                    )
         except TimeoutError:
             return Err(
                 ApiError(
@@ -142,6 +140,29 @@
                     f'the body did not arrive within {timeout_seconds} s',
                 ),
             )
+        if isinstance(received, Ok):
+            return Ok(bytes(received.ok_value))
+        return Err(self._body_error(received.err_value))
+
+    def _body_error(self, failure: BodyFailure | RoomRefusal) -> ApiError:
+        if isinstance(failure, RoomRefusal):
+            self._components.metrics.count('room_refusals')
+            return ApiError(
+                503,
+                'no_room',
+                'this host has no memory for the request now',
+                retry_after_ms=round(
+                    failure.retry_after_seconds * _ONE_SECOND_MS
+                ),
+            )
+        if failure is BodyFailure.too_large:
+            max_bytes = self._components.settings.max_body_bytes
+            return ApiError(
+                413,
+                'body_too_large',
+                f'the body is larger than {max_bytes} bytes',
+            )
+        return ApiError(400, 'body_broken', failure.value)
 
     def make_context(
         self,
--- a/src/burdockledge/platform/_caller_connections.py
+++ b/src/burdockledge/platform/_caller_connections.py
@@ -13,7 +13,6 @@
 
 from burdockledge.calls import CallerLimits
 from burdockledge.connections import GuardedConnection
-from burdockledge.http_client import READ_BYTES
 from burdockledge.platform import _names as names
 from burdockledge.relay import CutCause
 from burdockledge.telemetry import make_logger
@@ -202,7 +201,6 @@
             auto_decompress=False,
             keepalive_timeout=self.limits.idle_timeout_seconds,
             lingering_time=_LINGER_SECONDS,
-            read_bufsize=READ_BYTES,
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
         )
--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import re
 from typing import TYPE_CHECKING, Final, cast
 
-from aiohttp.web_protocol import RequestPayloadError
+from result import Ok
 
-from burdockledge.calls import ForwardedCall, Prompt, PromptPart
+from burdockledge.calls import CallBody, ForwardedCall, Prompt, PromptPart
+from burdockledge.connections import BodyFailure, RoomRefusal, receive_body
 from burdockledge.platform import _names as names
 from burdockledge.scheduling import ServerNotice
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from aiohttp.web_request import BaseRequest
 
     from burdockledge.calls import CallerLimits
-    from burdockledge.connections import GuardedConnection
+    from burdockledge.connections import Body, GuardedConnection
     from burdockledge.relay import Headers, OutboundCall
 
 _BAD_REQUEST: Final = 400
@@ -32,6 +32,11 @@
 # The largest number of tokens in the messages of the hosts.
 _MAX_TOKENS: Final = (1 << 31) - 1
 PART_ID_MASK: Final = (1 << 32) - 1
+_STATUS_BY_FAILURE: Final = {
+    BodyFailure.too_large: _TOO_LARGE,
+    BodyFailure.stopped: _REQUEST_TIMEOUT,
+    BodyFailure.broken: _BAD_REQUEST,
+}
 # Headers of a single connection (RFC 9110, section 7.6.1), and headers that
 # the HTTP client sets for the next hop.
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -54,13 +59,24 @@
 
 
 class BadCallError(Exception):
-    """An invalid request, which is answered without being forwarded."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        """Hold the HTTP status and the text of the error response."""
+    """A request that is answered without being forwarded."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        """
+        Hold the HTTP status and the text of the error response.
+
+        :param retry_after_seconds: when the request may be accepted, if that
+            depends on the time only.
+        """
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_seconds = retry_after_seconds
 
 
 async def decode_call(
@@ -69,22 +85,24 @@
     """
     Read a complete request.
 
-    :raises BadCallError: if the request is invalid, too large or too slow.
+    :raises BadCallError: if the request is invalid, too large or too slow, or
+        if there is no room for it.
     """
     _check_request_head(request, limits)
-    body = await _read_body(request, limits)
     headers = request.headers
+    caller_timeout_seconds = _parse_timeout_seconds(
+        headers.get(names.TIMEOUT_MS)
+    )
+    body = await _receive_body(request, limits)
     return ForwardedCall(
         request_id=headers[names.REQUEST_ID],
         method=request.method,
         target=request.raw_path,
         http_host=headers['Host'],
         headers=tuple(_end_to_end_headers(request.raw_headers)),
-        body=body,
+        body=CallBody(body, _keep_room(request) if body else None),
         api_key=_parse_api_key(headers.get(names.AUTHORIZATION)),
-        caller_timeout_seconds=_parse_timeout_seconds(
-            headers.get(names.TIMEOUT_MS)
-        ),
+        caller_timeout_seconds=caller_timeout_seconds,
         prompt=parse_prompt(
             headers.get(names.PROMPT_PARTS), headers.get(names.TOKEN_COUNTS)
         ),
@@ -208,38 +226,27 @@
     size = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
     if size > limits.header_bytes:
         raise BadCallError(_HEADERS_TOO_LARGE, 'the headers are too large')
-    if (request.content_length or 0) > limits.body_bytes:
-        raise BadCallError(_TOO_LARGE, 'the body is too large')
 
 
-async def _read_body(request: BaseRequest, limits: CallerLimits) -> bytes:
-    if not request.body_exists:
-        return b''
-    connection = cast('GuardedConnection', request.protocol)
-    chunks: list[bytes] = []
-    try:
-        while chunk := await _read_chunk(request, limits.idle_timeout_seconds):
-            connection.collected_bytes += len(chunk)
-            if connection.collected_bytes > limits.body_bytes:
-                raise BadCallError(_TOO_LARGE, 'the body is too large')
-            chunks.append(chunk)
-    finally:
-        # A whole body belongs to the call.
-        connection.collected_bytes = 0
-        if connection.counted_bytes:
-            connection.note_held()
-    return b''.join(chunks)
-
-
-async def _read_chunk(request: BaseRequest, timeout_seconds: float) -> bytes:
-    """Return the next bytes of a body, empty at its end."""
-    try:
-        async with asyncio.timeout(timeout_seconds):
-            return await request.content.readany()
-    except TimeoutError as error:
-        raise BadCallError(_REQUEST_TIMEOUT, 'the body stopped') from error
-    except RequestPayloadError as error:
-        raise BadCallError(_BAD_REQUEST, 'the body is broken') from error
+async def _receive_body(request: BaseRequest, limits: CallerLimits) -> Body:
+    received = await receive_body(
+        request, limits.body_bytes, limits.idle_timeout_seconds
+    )
+    if isinstance(received, Ok):
+        return received.ok_value
+    failure = received.err_value
+    if isinstance(failure, RoomRefusal):
+        raise BadCallError(
+            _UNAVAILABLE,
+            'there is no room for the request',
+            failure.retry_after_seconds,
+        )
+    raise BadCallError(_STATUS_BY_FAILURE[failure], failure.value)
+
+
+def _keep_room(request: BaseRequest) -> Callable[[], None] | None:
+    """Hold the room of a body until the function that is returned is called."""
+    return cast('GuardedConnection', request.protocol).keep_body()
 
 
 def _end_to_end_headers(
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -39,6 +39,7 @@
 _NOT_FOUND: Final = 404
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
+_MS_PER_SECOND: Final = 1000
 _BACKLOG: Final = 512
 # Responses up to this size are sent at once.
 _MAX_WHOLE_BYTES: Final = 64 * 1024
@@ -242,23 +243,37 @@
         try:
             call = await decode_call(request, self._caller_server.limits)
         except BadCallError as error:
+            self._note_bad_call(request, error)
+            return _error_response(error)
+        except (asyncio.CancelledError, ConnectionError):
+            self._note_unread_request(request, caller)
+            raise
+        try:
+            await self._relay.handle(call, caller)
+        finally:
+            call.body.give_up()
+        return caller.response or _empty_response(_BAD_GATEWAY)
+
+    def _note_bad_call(self, request: BaseRequest, error: BadCallError) -> None:
+        request_id = request.headers.get(names.REQUEST_ID)
+        if error.retry_after_seconds is None:
+            self._metrics.count('bad_requests', status=str(error.status))
             _log.info(
                 'Bad request.',
-                request=request.headers.get(names.REQUEST_ID),
+                request=request_id,
                 status=error.status,
                 why=error.reason,
             )
-            self._metrics.count('bad_requests', status=str(error.status))
-            error_response = Response(
-                status=error.status, text=f'{error.reason}\n'
-            )
-            error_response.force_close()
-            return error_response
-        except (asyncio.CancelledError, ConnectionError):
-            self._note_unread_request(request, caller)
-            raise
-        await self._relay.handle(call, caller)
-        return caller.response or _empty_response(_BAD_GATEWAY)
+            return
+        self._metrics.count('room_refusals')
+        _log.info(
+            'Refused for lack of memory.',
+            request=request_id,
+            body=request.content_length,
+            retry_after_ms=round(error.retry_after_seconds * _MS_PER_SECOND),
+            taken=self._guard.rooms.taken_bytes,
+            limit=self._guard.limits.held_bytes,
+        )
 
     def _note_unread_request(
         self, request: BaseRequest, caller: _HttpCaller
@@ -341,6 +356,14 @@
     return Response(status=status)
 
 
+def _error_response(error: BadCallError) -> Response:
+    response = Response(status=error.status, text=f'{error.reason}\n')
+    if error.retry_after_seconds is not None:
+        response.headers['Retry-After'] = f'{error.retry_after_seconds:.2f}'
+    response.force_close()
+    return response
+
+
 def _json_response(content: dict[str, Any]) -> Response:
     return Response(
         body=json.dumps(content).encode(),
--- a/src/burdockledge/platform/_servers.py
+++ b/src/burdockledge/platform/_servers.py
@@ -16,6 +16,7 @@
     make_session,
 )
 from burdockledge.platform import _names as names
+from burdockledge.platform._body_payload import body_payload
 from burdockledge.platform._calls import (
     call_rate_limit,
     outbound_headers,
@@ -237,7 +238,7 @@
                 call.method,
                 url,
                 headers=outbound_headers(outbound),
-                data=call.body or None,
+                data=body_payload(call.body),
                 allow_redirects=False,
             )
         except _SEND_ERRORS as error:
--- a/src/burdockledge/relay/_admission_gate.py
+++ b/src/burdockledge/relay/_admission_gate.py
@@ -372,7 +372,7 @@
         '' if served.team is None else served.team.name,
         served.route.name,
         tuple(part.part_id for part in served.call.prompt.parts),
-        len(served.call.body),
+        served.call.body.size,
     )
 
 
--- a/tests/admission/overload.py
+++ b/tests/admission/overload.py
@@ -10,6 +10,7 @@
 
 from burdockledge.admission import LoadRefusal
 from burdockledge.calls import (
+    CallBody,
     ForwardedCall,
     Prompt,
     PromptPart,
@@ -201,7 +202,7 @@
             1, kind.tier, False, False, (), 0.5 if kind.tokens else None,
         )  # fmt: skip
         call = ForwardedCall(
-            'id', 'POST', '/', 'h', (), body, 'key', None, prompt
+            'id', 'POST', '/', 'h', (), CallBody(body), 'key', None, prompt
         )
         return ServedCall(
             call, FakeCaller(), route, Team(team, None), SERVICE, self.now,
--- a/tests/host_churn.py
+++ b/tests/host_churn.py
@@ -23,7 +23,7 @@
 import structlog
 from result import Err, Ok, Result
 
-from burdockledge.calls import ForwardedCall, Prompt, PromptPart
+from burdockledge.calls import CallBody, ForwardedCall, Prompt, PromptPart
 from burdockledge.clock import VirtualClock, VirtualTimeLoop
 from burdockledge.host import RelayHost
 from burdockledge.peers import PeerKeys
@@ -226,7 +226,8 @@
         PromptPart(first + part + 1, 100) for part in range(PARTS_PER_CALL)
     )
     return ForwardedCall(
-        f'{name}', 'POST', f'/{name}/x', f'{name}.example', (), b'prompt',
+        f'{name}', 'POST', f'/{name}/x', f'{name}.example', (),
+        CallBody(b'prompt'),
         f'key-{name}', 5, Prompt(parts, 100 * PARTS_PER_CALL, 200),
     )  # fmt: skip
 
--- a/tests/platform_adapter/test_server_notices.py
+++ b/tests/platform_adapter/test_server_notices.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from burdockledge.calls import ForwardedCall, ServerInstance
+from burdockledge.calls import CallBody, ForwardedCall, ServerInstance
 from burdockledge.platform import HttpServerClient
 from burdockledge.relay import OutboundCall, SendFailure
 from tests.platform_adapter.standin_server import (
@@ -40,7 +40,7 @@
         def outbound(obstacle: str | None) -> OutboundCall:
             call = ForwardedCall(
                 'r', 'POST', '/x', 'h', (('Burdockledge-Request-Id', 'r'),),
-                b'', None, None,
+                CallBody(), None, None,
             )  # fmt: skip
             return OutboundCall(
                 call, instance, None, 0, 1.0, None, obstacle=lambda: obstacle
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -11,6 +11,7 @@
 
 from burdockledge.admission import LoadRefusal
 from burdockledge.calls import (
+    CallBody,
     CallerLimits,
     ForwardedCall,
     Prompt,
@@ -69,7 +70,9 @@
 
 def call(path: str, key: str | None = 'key') -> ForwardedCall:
     """Return a call to a path, whose caller waits 10 seconds."""
-    return ForwardedCall('id', 'POST', path, 'h', (), b'body', key, 10.0)
+    return ForwardedCall(
+        'id', 'POST', path, 'h', (), CallBody(b'body'), key, 10.0
+    )
 
 
 def events(*numbers: int) -> bytes:
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from burdockledge.calls import (
+    CallBody,
     CallerLimits,
     EngineConfiguration,
     ForwardedCall,
@@ -443,8 +444,8 @@
             60,
         )
         forwarded = ForwardedCall(
-            answer.request_id, 'POST', f'{route.path_prefix}x', 'h', (), b'',
-            'key', 8.0, prompt,
+            answer.request_id, 'POST', f'{route.path_prefix}x', 'h', (),
+            CallBody(), 'key', 8.0, prompt,
         )  # fmt: skip
         target = self.hosts[name]
         task = self.loop.create_task(
