Give up the body of a call once it can not be sent again

The body is given up as the head of an answer arrives, if no attempt is left: for unsafe calls and streams that are not resumable at once. It is held until it has been written, as servers may answer earlier. A call without its body is never sent.

--- a/src/burdockledge/calls/_types.py
+++ b/src/burdockledge/calls/_types.py
@@ -202,6 +202,11 @@
         """The bytes, none once the body was given up."""
         return self._content
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether the call can be sent once more."""
+        return self._is_needed
+
     def give_up(self) -> None:
         """Keep the body only until it has been sent completely."""
         self._is_needed = False
--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -137,7 +137,7 @@
     def _may_send(self, served: ServedCall) -> bool:
         if not served.sends:
             return True
-        if served.sends >= _MAX_SENDS:
+        if served.sends >= _MAX_SENDS or not served.call.body.is_kept:
             return False
         if served.has_retry:
             served.has_retry = False
@@ -278,6 +278,8 @@
         self.usage.note_head(served, response, read_at)
         served.may_have_run = True
         served.runs += 1
+        if not self._has_attempt_left(served):
+            served.call.body.give_up()
         is_success = _OK <= response.status < _MULTIPLE_CHOICES
         is_stream = served.route.kind is RouteKind.stream
         if is_success and not response.has_seal:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -132,6 +132,7 @@
         self, outbound: OutboundCall
     ) -> Result[ServerResponse, SendFailure]:
         """Return the next result of the script."""
+        assert outbound.call.body.content
         self.sent.append(outbound)
         step = self.script.pop(0)
         if isinstance(step, SendFailure):
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -432,3 +432,24 @@
     failed = replace(FAILED, call_rate_limit=0.5)
     run = serve(call('/safe/x'), refused, failed, OK)
     assert run.routing_state.limits == [1.5, 0.5, None]
+
+
+@pytest.mark.parametrize(
+    ('path', 'script', 'is_kept'),
+    [
+        ('/unsafe/x', (OK,), False),
+        ('/unsafe/x', (REFUSED, OK), False),
+        ('/stream/x', (FakeResponse(200, (events(1),)),), False),
+        ('/resumed/x', (FakeResponse(200, (events(1),)),), True),
+        ('/safe/x', (OK,), True),
+        ('/safe/x', (FAILED, OK), False),
+    ],
+)
+def test_a_body_is_kept_only_while_its_call_may_be_sent_again(
+    path: str, script: tuple[FakeResponse, ...], is_kept: bool
+) -> None:
+    """Guards against long streams that hold the bodies of their calls."""
+    forwarded = call(path)
+    run = serve(forwarded, *script)
+    assert run.caller.status == 200
+    assert bool(forwarded.body.content) is is_kept
