Derive the budget from calm memory, and return freed memory

A host at which a crowd had been kept the memory of it for good: 27 to 42 of 30 MiB beyond calm after the first of five crowds, none of it counted. The budget assumed 64 MiB in calm for all hosts, and at most 32 MiB for callers; the number of connections was bound by descriptors only.

Cause: the C library keeps free pages below others that are in use, and what a process holds in calm differs between deployments and grows.

Half a second after 4 MiB or more came free they are returned to the system. The bounds follow the resident set, which is read while hardly anything is held for callers, every 5 s at most: callers may hold 0.55 of what is beyond it, connections half of that by their number. A request that waits counts, and the queue is bounded; a whole request takes the last place of a body. A buffer that grows counts an eighth more.

--- a/src/burdockledge/connections/__init__.py
+++ b/src/burdockledge/connections/__init__.py
@@ -5,18 +5,31 @@
     BodyFailure,
     receive_body,
 )
-from burdockledge.connections._guard import ConnectionGuard, GuardedTransport
+from burdockledge.connections._guard import (
+    ConnectionBudget,
+    ConnectionGuard,
+    GuardedTransport,
+)
 from burdockledge.connections._holdings import (
     CloseCause,
     HeldBytes,
     Holding,
     choose_closed,
 )
-from burdockledge.connections._limits import ConnectionLimits, derive_limits
+from burdockledge.connections._limits import (
+    MIN_HELD_BYTES,
+    ConnectionLimits,
+    derive_limits,
+)
 from burdockledge.connections._listening import listen
+from burdockledge.connections._process_memory import (
+    ProcessMemory,
+    SystemMemory,
+)
 from burdockledge.connections._protocol import GuardedConnection
 from burdockledge.connections._rooms import (
     CALL_BYTES,
+    WAITING_BYTES,
     Room,
     RoomKeeper,
     RoomRefusal,
@@ -24,18 +37,23 @@
 
 __all__ = (
     'CALL_BYTES',
+    'MIN_HELD_BYTES',
+    'WAITING_BYTES',
     'Body',
     'BodyFailure',
     'CloseCause',
+    'ConnectionBudget',
     'ConnectionGuard',
     'ConnectionLimits',
     'GuardedConnection',
     'GuardedTransport',
     'HeldBytes',
     'Holding',
+    'ProcessMemory',
     'Room',
     'RoomKeeper',
     'RoomRefusal',
+    'SystemMemory',
     'choose_closed',
     'derive_limits',
     'listen',
--- a/src/burdockledge/connections/_bodies.py
+++ b/src/burdockledge/connections/_bodies.py
@@ -43,26 +43,30 @@
     """
     Return the whole body of a request, once there is room for its call.
 
-    The room is held until the request is answered, unless the body is given
-    up before.
+    The room is held until the handler of the request calls ``close_room`` of
+    its connection, unless the body is given up before.
 
     :param max_bytes: the largest body that is allowed.
     :param idle_seconds: the time limit between two parts of the body.
     :param factor: how many bytes are held for each byte of the body.
     """
     connection = cast('GuardedConnection', request.protocol)
+    content = request.content
+    whole = _take_whole(request, connection, max_bytes, factor)
+    if whole is not None:
+        return Ok(whole)
     length = _body_length(request)
     if (length or 0) > max_bytes:
         return Err(BodyFailure.too_large)
-    first_bytes = _UNREAD_BYTES if length is None else length
+    is_whole = content.is_eof()
     taken = await connection.take_room(
-        first_bytes * factor, is_whole=request.content.is_eof()
+        _first_bytes(length, is_whole=is_whole) * factor, is_whole=is_whole
     )
     if isinstance(taken, Err):
         return Err(taken.err_value)
     if not request.body_exists:
         return Ok(b'')
-    request.content.set_read_chunk_size(READ_BYTES)
+    content.set_read_chunk_size(READ_BYTES)
     receiver = _Receiver(request, connection, max_bytes, idle_seconds)
     if length is None:
         return await receiver.receive(partial(_grow, connection, factor))
@@ -72,6 +76,24 @@
 _Grow = Callable[[int], Awaitable[Result[None, RoomRefusal]]]
 
 
+def _take_whole(
+    request: BaseRequest,
+    connection: GuardedConnection,
+    max_bytes: int,
+    factor: int,
+) -> bytes | None:
+    """Return a body that has come as a whole, if there is room at once."""
+    content = request.content
+    if not content.is_eof() or content.exception() is not None:
+        return None
+    size = content.total_bytes if request.body_exists else 0
+    if size > max_bytes:
+        return None
+    if not connection.take_room_now(size * factor, is_whole=True):
+        return None
+    return content.read_nowait() if size else b''
+
+
 def _body_length(request: BaseRequest) -> int | None:
     """Return the bytes that a body will have, None if that is not known."""
     if not request.body_exists:
@@ -84,6 +106,14 @@
     return request.content_length
 
 
+def _first_bytes(length: int | None, *, is_whole: bool) -> int:
+    """Return the room that a body needs before it is received."""
+    if length is None:
+        return _UNREAD_BYTES
+    # A buffer that grows has up to an eighth more than its bytes.
+    return length if is_whole else length + length // 8
+
+
 async def _keep_size(received: int) -> Result[None, RoomRefusal]:
     """Add no room: the whole body has some."""
     return Ok(None)
--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections import Counter, deque
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -15,8 +17,11 @@
     choose_closed,
 )
 from burdockledge.connections._limits import (
+    CALM_BYTES,
     CONNECTION_BYTES,
     SPARE_CONNECTIONS,
+    ConnectionLimits,
+    derive_limits,
 )
 from burdockledge.connections._rooms import CALL_BYTES, RoomKeeper
 from burdockledge.telemetry import make_logger
@@ -24,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from burdockledge.connections._limits import ConnectionLimits
+    from burdockledge.connections._process_memory import ProcessMemory
     from burdockledge.telemetry import Metrics
 
 _log = make_logger('connections')
@@ -36,6 +41,35 @@
 # What connections hold besides bodies and calls may take this part of the
 # bound in any case.
 _KEPT_DIVISOR: Final = 4
+# The bounds follow what is held in calm: the process learns as it runs.
+_CALM_PERIOD_SECONDS: Final = 5.0
+_MAX_CALM_HELD_BYTES: Final = 1024 * 1024
+# Freed memory is returned to the system if it is worth the work, and at most
+# this often.
+_MIN_TRIMMED_BYTES: Final = 4 * 1024 * 1024
+_TRIM_SECONDS: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBudget:
+    """
+    The limits of a process, from which the bounds are derived.
+
+    ``connection_bytes`` is what an open connection takes.
+    """
+
+    memory_bytes: int | None
+    max_descriptors: int | None
+    connection_bytes: int = CONNECTION_BYTES
+
+    def derive(self, calm_bytes: int) -> ConnectionLimits:
+        """Return the bounds, given what the process holds in calm."""
+        return derive_limits(
+            self.memory_bytes,
+            self.max_descriptors,
+            calm_bytes,
+            self.connection_bytes,
+        )
 
 
 class GuardedTransport(ABC):
@@ -79,22 +113,33 @@
 
     def __init__(
         self,
-        limits: ConnectionLimits,
+        budget: ConnectionBudget,
         metrics: Metrics,
         clock: Callable[[], float],
+        memory: ProcessMemory,
     ) -> None:
         """
         Create a guard without connections.
 
         :param clock: returns a monotonic time in seconds.
         """
-        self.limits = limits
+        self._budget = budget
+        self.limits = budget.derive(CALM_BYTES)
+        self._memory = memory
+        self._calm_noted_at = -math.inf
+        # The most that was held since freed memory was last returned.
+        self._peak_bytes = 0
+        self._trim_handle: asyncio.TimerHandle | None = None
         self._metrics = metrics
         self._clock = clock
         self._connections: set[GuardedTransport] = set()
         self._total = 0
         self.rooms: RoomKeeper[GuardedTransport] = RoomKeeper(
-            clock, limits.held_bytes, self._other_bytes, self._close_stalled
+            clock,
+            self.limits.held_bytes,
+            self._other_bytes,
+            self._close_stalled,
+            self._note_freed,
         )
         self._postponed: deque[GuardedTransport] = deque()
         self._is_turn_due = False
@@ -102,7 +147,10 @@
 
     def add(self, connection: GuardedTransport) -> None:
         """Count a new connection; close others if there are too many."""
-        connection.holds_since = self._clock()
+        now = self._clock()
+        connection.holds_since = now
+        if now - self._calm_noted_at >= _CALM_PERIOD_SECONDS:
+            self._note_calm(now)
         self._connections.add(connection)
         max_count = self._max_count(connection)
         if len(self._connections) <= max_count:
@@ -116,8 +164,10 @@
         """Count a connection no longer."""
         if connection in self._connections:
             self._connections.remove(connection)
-            self._total -= connection.counted_bytes
+            freed_bytes = connection.counted_bytes
+            self._total -= freed_bytes
             connection.counted_bytes = 0
+            self._note_freed(self._budget.connection_bytes + freed_bytes)
 
     def note(self, connection: GuardedTransport) -> None:
         """Count what a connection holds; close some if it is too much."""
@@ -146,7 +196,7 @@
             why=cause.value,
             held=held_bytes,
             connections=len(self._connections),
-            held_by_all=self._other_bytes() + self.rooms.taken_bytes,
+            held_by_all=self._held_bytes,
         )
 
     def _max_count(self, connection: GuardedTransport) -> int:
@@ -194,9 +244,6 @@
         metrics.set_gauge_function(
             'caller_connections', lambda: len(self._connections)
         )
-        metrics.set_gauge_function(
-            'caller_requests_waiting', lambda: self.rooms.waiting_count
-        )
         metrics.set_gauge_function(
             'caller_held_bytes_limit', lambda: self.limits.held_bytes
         )
@@ -205,6 +252,7 @@
         }
         functions['connections'] = self._connection_bytes
         functions['calls'] = lambda: self.rooms.request_count * CALL_BYTES
+        functions['waiting'] = lambda: self.rooms.waiting_bytes
         functions['bodies'] = lambda: (
             self.rooms.body_bytes + self._sum_kind('bodies')
         )
@@ -212,10 +260,14 @@
             metrics.set_gauge_function('caller_held_bytes', function, kind=kind)
 
     def _connection_bytes(self) -> int:
-        return len(self._connections) * CONNECTION_BYTES
+        return len(self._connections) * self._budget.connection_bytes
+
+    @property
+    def _held_bytes(self) -> int:
+        return self._other_bytes() + self.rooms.taken_bytes
 
     def _other_bytes(self) -> int:
-        return self._connection_bytes() + self._total
+        return self._connection_bytes() + self._total + self.rooms.waiting_bytes
 
     def _max_measured_bytes(self) -> int:
         limit = self.limits.held_bytes
@@ -224,6 +276,34 @@
             limit - self.rooms.taken_bytes - self._connection_bytes(),
         )
 
+    def _note_calm(self, now: float) -> None:
+        """Derive the bounds anew if hardly anything is held for callers."""
+        if self._held_bytes > _MAX_CALM_HELD_BYTES:
+            return
+        self._calm_noted_at = now
+        resident_bytes = self._memory.resident_bytes()
+        if resident_bytes is not None:
+            self.limits = self._budget.derive(resident_bytes)
+            self.rooms.limit_bytes = self.limits.held_bytes
+
+    def _note_freed(self, size: int) -> None:
+        """Return memory to the system soon after much of it came free."""
+        held_bytes = self._held_bytes
+        self._peak_bytes = max(self._peak_bytes, held_bytes + size)
+        if (
+            self._trim_handle is None
+            and self._peak_bytes - held_bytes >= _MIN_TRIMMED_BYTES
+        ):
+            self._trim_handle = asyncio.get_running_loop().call_later(
+                _TRIM_SECONDS, self._trim
+            )
+
+    def _trim(self) -> None:
+        self._trim_handle = None
+        self._peak_bytes = self._held_bytes
+        self._memory.trim()
+        self._note_calm(self._clock())
+
     def _close_stalled(self, connection: GuardedTransport) -> None:
         """Close a connection whose body does not grow while others wait."""
         self.note_close(CloseCause.stalled, connection.room_bytes)
@@ -250,4 +330,4 @@
             self._schedule_turn()
 
 
-__all__ = ('ConnectionGuard', 'GuardedTransport')
+__all__ = ('ConnectionBudget', 'ConnectionGuard', 'GuardedTransport')
--- a/src/burdockledge/connections/_limits.py
+++ b/src/burdockledge/connections/_limits.py
@@ -6,16 +6,19 @@
 from typing import Final
 
 _MEBIBYTE: Final = 1024 * 1024
-# A host with two services has 57 MiB in calm; the rest is for its knowledge.
+# Assumed to be held in calm until that is known; a host with two services has
+# 58 MiB, pages of files included.
 CALM_BYTES: Final = 64 * _MEBIBYTE
-# Buffers that grow, and the objects around them, take up to twice their bytes.
-_MEMORY_SHARE: Final = 0.5
+# Of the memory beyond what is held in calm. The rest is for large answers, for
+# what the host learns, and for memory between blocks in use.
+_MEMORY_SHARE: Final = 0.55
 # Twice the largest body that the configuration allows by default: one such
 # upload never meets the budget in calm.
 MIN_HELD_BYTES: Final = 8 * _MEBIBYTE
-# More would not serve ordinary callers, and the memory beside the calm figure
-# has to stay under 120 MiB with large answers (16 MiB) and calls in flight.
-MAX_HELD_BYTES: Final = 32 * _MEBIBYTE
+# Large answers may hold this part of the same amount besides.
+_ANSWERS_DIVISOR: Final = 3
+# Open connections may take this part of the bound by their mere number.
+_CONNECTIONS_DIVISOR: Final = 2
 # The protocol, parser, task and transport of an open connection.
 CONNECTION_BYTES: Final = 12 * 1024
 # Files, the store, other hosts and listeners.
@@ -37,8 +40,9 @@
     """
     Bounds over all connections.
 
-    ``held_bytes`` bounds what is unfinished or unread; ``connections`` those
-    of callers. Other listeners may have ``SPARE_CONNECTIONS`` more.
+    ``held_bytes`` bounds connections, requests, and responses that are not
+    read; ``connections`` the connections of callers. Other listeners may have
+    ``SPARE_CONNECTIONS`` more.
     """
 
     held_bytes: int
@@ -51,27 +55,32 @@
 
         An answer takes twice its bytes as it is completed.
         """
-        return self.held_bytes // 2
+        return self.held_bytes // _ANSWERS_DIVISOR
 
 
 def derive_limits(
-    memory_bytes: int | None, max_descriptors: int | None
+    memory_bytes: int | None,
+    max_descriptors: int | None,
+    calm_bytes: int = CALM_BYTES,
+    connection_bytes: int = CONNECTION_BYTES,
 ) -> ConnectionLimits:
     """
     Return the bounds for the limits of a process.
 
     :param memory_bytes: None if unknown.
     :param max_descriptors: None if unknown.
+    :param calm_bytes: what the process holds without callers.
+    :param connection_bytes: what an open connection takes.
     """
-    spare_bytes = (memory_bytes or _DEFAULT_MEMORY_BYTES) - CALM_BYTES
-    held_bytes = int(spare_bytes * _MEMORY_SHARE)
+    spare_bytes = (memory_bytes or _DEFAULT_MEMORY_BYTES) - calm_bytes
+    held_bytes = max(MIN_HELD_BYTES, int(spare_bytes * _MEMORY_SHARE))
     descriptors = max_descriptors or _DEFAULT_DESCRIPTORS
-    connections = (
+    by_descriptors = (
         descriptors - _RESERVED_DESCRIPTORS
     ) // _DESCRIPTORS_PER_CALLER - SPARE_CONNECTIONS
+    by_memory = held_bytes // _CONNECTIONS_DIVISOR // connection_bytes
     return ConnectionLimits(
-        min(MAX_HELD_BYTES, max(MIN_HELD_BYTES, held_bytes)),
-        max(_MIN_CONNECTIONS, connections),
+        held_bytes, max(_MIN_CONNECTIONS, min(by_descriptors, by_memory))
     )
 
 
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -16,11 +16,9 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from aiohttp.streams import StreamReader
-    from aiohttp.web_request import BaseRequest
-    from aiohttp.web_response import StreamResponse
     from aiohttp.web_server import Server
 
     from burdockledge.connections._guard import ConnectionGuard
@@ -182,22 +180,36 @@
         self, body_bytes: int, *, is_whole: bool
     ) -> Result[None, RoomRefusal]:
         """
-        Hold room for the request in progress until it is answered.
+        Hold room for the request in progress until ``close_room``.
 
         :param is_whole: whether its body has been received completely.
         """
+        if self.take_room_now(body_bytes, is_whole=is_whole):
+            return Ok(None)
         taken = await self._guard.rooms.take(
             self, body_bytes, is_whole=is_whole
         )
         if isinstance(taken, Err):
             return Err(taken.err_value)
-        self._room = taken.ok_value
-        if not is_whole:
-            self._limit_read(READ_BYTES)
-        if self.counted_bytes:
-            self._guard.note(self)
+        self._hold(taken.ok_value)
         return Ok(None)
 
+    def take_room_now(self, body_bytes: int, *, is_whole: bool) -> bool:
+        """Hold room as ``take_room`` does, if there is no need to wait."""
+        room = self._guard.rooms.take_now(self, body_bytes, is_whole=is_whole)
+        if room is None:
+            return False
+        self._hold(room)
+        return True
+
+    def close_room(self) -> None:
+        """Hold no room, as the request in progress is answered."""
+        room = self._room
+        if room is not None:
+            room.close()
+            self._room = None
+            self._limit_read(_PARSE_BYTES)
+
     async def grow_room(self, size: int) -> Result[None, RoomRefusal]:
         """Hold this much for a body of unknown length."""
         if self._room is None:
@@ -258,24 +270,12 @@
             transport.abort()
         self._backlog.clear()
 
-    async def _handle_request(
-        self,
-        request: BaseRequest,
-        start_time: float | None,
-        request_handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
-    ) -> tuple[StreamResponse, bool]:
-        try:
-            return await super()._handle_request(
-                request, start_time, request_handler
-            )
-        finally:
-            self._close_room()
-
-    def _close_room(self) -> None:
-        if self._room is not None:
-            self._room.close()
-            self._room = None
-            self._limit_read(_PARSE_BYTES)
+    def _hold(self, room: Room[GuardedTransport]) -> None:
+        self._room = room
+        if room.is_receiving:
+            self._limit_read(READ_BYTES)
+        if self.counted_bytes:
+            self._guard.note(self)
 
     def _limit_read(self, size: int) -> None:
         """Limit what is read from the socket at once."""
--- a/src/burdockledge/connections/_rooms.py
+++ b/src/burdockledge/connections/_rooms.py
@@ -14,6 +14,8 @@
 
 # The tasks and objects of a call in flight, at a host and towards its server.
 CALL_BYTES: Final = 27 * 1024
+# The task and objects of a request that waits.
+WAITING_BYTES: Final = 16 * 1024
 # A part of the bound that large bodies leave to calls which came as a whole,
 # and that no other kind of holding can take from requests.
 _KEPT_DIVISOR: Final = 4
@@ -106,29 +108,8 @@
 
     size: int
     is_whole: bool
-    is_granted: asyncio.Future[None]
-
-
-@dataclass(slots=True)
-class _FreeingRate:
-    """How fast room comes free, in bytes a second."""
-
-    clock: Callable[[], float]
-    _recent_bytes: float = 0
-    _noted_at: float = 0
-
-    def note(self, size: int) -> None:
-        """Record that bytes came free."""
-        self._recent_bytes = self._decayed_bytes() + size
-        self._noted_at = self.clock()
-
-    def value(self) -> float:
-        """Return the rate of the last seconds."""
-        return self._decayed_bytes() / _RATE_SECONDS
-
-    def _decayed_bytes(self) -> float:
-        age = self.clock() - self._noted_at
-        return self._recent_bytes * max(0.0, 1 - age / _RATE_SECONDS)
+    is_granted: asyncio.Future[bool]
+    is_room_taken: bool = False
 
 
 @dataclass(eq=False, slots=True)
@@ -139,6 +120,7 @@
     ``limit_bytes`` bounds it together with ``other_bytes``, what connections
     hold besides. ``close_stalled`` is called for a request whose body has to
     make room for others; the room is free once it has been closed.
+    ``on_freed`` is called with the bytes that came free.
 
     Requests whose body has come as a whole go before those that are still to
     be received, which may take three quarters of the bound.
@@ -148,17 +130,16 @@
     limit_bytes: int
     other_bytes: Callable[[], int]
     close_stalled: Callable[[KeyT], None]
+    on_freed: Callable[[int], None]
     taken_bytes: int = 0
     _rooms: dict[Room[KeyT], None] = field(default_factory=dict)
     _waiters: deque[_Waiter[KeyT]] = field(default_factory=deque)
-    _rate: _FreeingRate = field(init=False)
+    _freed_bytes: int = 0
+    # Times, and the bytes that had come free until then.
+    _freed_until: deque[tuple[float, int]] = field(default_factory=deque)
     _promised_until: float = 0
     _review_handle: asyncio.TimerHandle | None = None
 
-    def __post_init__(self) -> None:
-        """Begin without any experience."""
-        self._rate = _FreeingRate(self.clock)
-
     @property
     def body_bytes(self) -> int:
         """What the bodies of all requests hold."""
@@ -170,9 +151,19 @@
         return len(self._rooms)
 
     @property
-    def waiting_count(self) -> int:
-        """The number of requests that wait for room."""
-        return len(self._waiters)
+    def waiting_bytes(self) -> int:
+        """What the requests hold that wait for room."""
+        return len(self._waiters) * WAITING_BYTES
+
+    def take_now(
+        self, key: KeyT, body_bytes: int, *, is_whole: bool
+    ) -> Room[KeyT] | None:
+        """Return what ``take`` returns, None if it would have to wait."""
+        size = CALL_BYTES + body_bytes
+        if self._waiters or not self._fits(size, is_whole=is_whole):
+            return None
+        self.taken_bytes += size
+        return self._add(key, size, is_whole=is_whole)
 
     async def take(
         self, key: KeyT, body_bytes: int, *, is_whole: bool
@@ -182,16 +173,14 @@
 
         :param is_whole: whether the body has been received completely.
         """
+        room = self.take_now(key, body_bytes, is_whole=is_whole)
+        if room is not None:
+            return Ok(room)
         size = CALL_BYTES + body_bytes
-        if self._waiters or not self._fits(size, is_whole=is_whole):
-            refusal = await self._wait(size, is_whole=is_whole)
-            if refusal is not None:
-                return Err(refusal)
-        else:
-            self.taken_bytes += size
-        room = Room(self, key, size, not is_whole, self.clock())
-        self._rooms[room] = None
-        return Ok(room)
+        refusal = await self._wait(size, is_whole=is_whole)
+        if refusal is not None:
+            return Err(refusal)
+        return Ok(self._add(key, size, is_whole=is_whole))
 
     async def grow(
         self, room: Room[KeyT], size: int
@@ -214,7 +203,8 @@
     def give_back(self, size: int) -> None:
         """Free bytes, and grant them to those that wait."""
         self.taken_bytes -= size
-        self._rate.note(size)
+        self._freed_bytes += size
+        self.on_freed(size)
         if self._waiters:
             self._grant()
 
@@ -224,6 +214,11 @@
             self._rooms.pop(room)
             room.shrink(0)
 
+    def _add(self, key: KeyT, size: int, *, is_whole: bool) -> Room[KeyT]:
+        room = Room(self, key, size, not is_whole, self.clock())
+        self._rooms[room] = None
+        return room
+
     def _fits(self, size: int, *, is_whole: bool, own_bytes: int = 0) -> bool:
         if self.taken_bytes <= own_bytes:
             # A single request is served even if it exceeds the bound.
@@ -252,33 +247,48 @@
         waiter: _Waiter[KeyT] = _Waiter(
             size, is_whole, asyncio.get_running_loop().create_future()
         )
-        self._enqueue(waiter)
+        if not self._enqueue(waiter):
+            return self._refuse(size)
         self._review()
+        is_granted = False
         try:
             async with asyncio.timeout(_MAX_WAIT_SECONDS):
-                await waiter.is_granted
+                is_granted = await waiter.is_granted
         except TimeoutError:
-            if not self._leave(waiter):
-                return self._refuse(size)
+            is_granted = self._leave(waiter)
         except asyncio.CancelledError:
             if self._leave(waiter):
                 self.give_back(size)
             raise
-        return None
+        return None if is_granted else self._refuse(size)
 
-    def _enqueue(self, waiter: _Waiter[KeyT]) -> None:
-        """Add a waiter behind those of its kind; whole requests go first."""
+    def _enqueue(self, waiter: _Waiter[KeyT]) -> bool:
+        """
+        Add a waiter behind those of its kind; whole requests go first.
+
+        :return: whether there is a place; a whole request takes the last one
+            of the others.
+        """
+        max_bytes = self.limit_bytes // _KEPT_DIVISOR
+        if self.waiting_bytes >= max_bytes:
+            last = self._waiters[-1]
+            if last.is_whole or not waiter.is_whole:
+                return False
+            self._waiters.pop()
+            if not last.is_granted.done():
+                last.is_granted.set_result(False)
         position = len(self._waiters)
         if waiter.is_whole:
             position = sum(1 for other in self._waiters if other.is_whole)
         self._waiters.insert(position, waiter)
+        return True
 
     def _leave(self, waiter: _Waiter[KeyT]) -> bool:
         """Return whether a waiter has got its room, and wait no longer."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
             return False
-        return True
+        return waiter.is_room_taken
 
     def _grant(self) -> None:
         while self._waiters:
@@ -287,16 +297,17 @@
                 return
             self._waiters.popleft()
             self.taken_bytes += waiter.size
-            if waiter.is_granted.cancelled():
-                # Its task gives the room back as it goes on.
-                continue
-            waiter.is_granted.set_result(None)
+            waiter.is_room_taken = True
+            # If the wait was cancelled, its task gives the room back.
+            if not waiter.is_granted.done():
+                waiter.is_granted.set_result(True)
 
     def _review(self) -> None:
         """Grant what came free, and close what does not grow, repeatedly."""
         if self._review_handle is not None:
             return
         self._grant()
+        self._note_freed(self.clock())
         if self._waiters:
             self._close_stalled()
             self._review_handle = asyncio.get_running_loop().call_later(
@@ -336,8 +347,10 @@
         Each refusal names a time behind those before it, so that callers do
         not all return at once.
         """
-        rate = max(self._rate.value(), self.limit_bytes / _MAX_RETRY_SECONDS)
         now = self.clock()
+        rate = max(
+            self._freeing_rate(now), self.limit_bytes / _MAX_RETRY_SECONDS
+        )
         self._promised_until = max(now, self._promised_until) + size / rate
         seconds = self._promised_until - now
         if seconds > _MAX_RETRY_SECONDS:
@@ -345,5 +358,18 @@
             seconds = _MAX_RETRY_SECONDS
         return RoomRefusal(max(_MIN_RETRY_SECONDS, seconds))
 
+    def _note_freed(self, now: float) -> None:
+        self._freed_until.append((now, self._freed_bytes))
+        while self._freed_until[0][0] < now - _RATE_SECONDS:
+            self._freed_until.popleft()
+
+    def _freeing_rate(self, now: float) -> float:
+        """Return the bytes a second that came free lately."""
+        if not self._freed_until:
+            return 0
+        noted_at, freed_bytes = self._freed_until[0]
+        seconds = max(_REVIEW_SECONDS, now - noted_at)
+        return (self._freed_bytes - freed_bytes) / seconds
+
 
-__all__ = ('CALL_BYTES', 'Room', 'RoomKeeper', 'RoomRefusal')
+__all__ = ('CALL_BYTES', 'WAITING_BYTES', 'Room', 'RoomKeeper', 'RoomRefusal')
--- a/src/burdockledge/gateway/_protocol.py
+++ b/src/burdockledge/gateway/_protocol.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from burdockledge.connections import GuardedConnection
+
 
 class HeadTimeoutProtocol(asyncio.Protocol):
     """
@@ -90,7 +92,14 @@
     try:
         return await handler(request)  # type: ignore[no-any-return,misc]
     finally:
-        protocol.end_request()
+        _end_request(protocol, request)
+
+
+def _end_request(protocol: HeadTimeoutProtocol, request: web.Request) -> None:
+    protocol.end_request()
+    connection = request.protocol
+    if isinstance(connection, GuardedConnection):
+        connection.close_room()
 
 
 __all__ = ('HeadTimeoutProtocol', 'head_timeout_middleware')
--- a/src/burdockledge/gateway/_server.py
+++ b/src/burdockledge/gateway/_server.py
@@ -10,9 +10,10 @@
 from aiohttp import web
 
 from burdockledge.connections import (
+    ConnectionBudget,
     ConnectionGuard,
     GuardedConnection,
-    derive_limits,
+    SystemMemory,
     listen,
 )
 from burdockledge.gateway._admission import Admission
@@ -65,12 +66,13 @@
         self._server: asyncio.Server | None = None
         settings = components.settings
         self._guard = ConnectionGuard(
-            derive_limits(
+            ConnectionBudget(
                 settings.memory_mb and settings.memory_mb * _BYTES_PER_MB,
                 settings.max_fds,
             ),
             components.metrics,
             time.monotonic,
+            SystemMemory(),
         )
 
     def application(self) -> web.Application:
--- a/src/burdockledge/platform/_front.py
+++ b/src/burdockledge/platform/_front.py
@@ -11,7 +11,12 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from burdockledge.calls import CallerLimits
-from burdockledge.connections import ConnectionGuard, derive_limits, listen
+from burdockledge.connections import (
+    ConnectionBudget,
+    ConnectionGuard,
+    SystemMemory,
+    listen,
+)
 from burdockledge.kernel import Service
 from burdockledge.platform import _names as names
 from burdockledge.platform._caller_connections import (
@@ -179,9 +184,10 @@
         self._metrics_lock = asyncio.Lock()
         self._listeners: list[tuple[Server, asyncio.Server]] = []
         self._guard = ConnectionGuard(
-            derive_limits(settings.memory_bytes, settings.max_descriptors),
+            ConnectionBudget(settings.memory_bytes, settings.max_descriptors),
             metrics,
             time.monotonic,
+            SystemMemory(),
         )
         self._caller_server = CallerServer(
             self._handle_call, self._guard, self._note_drop
@@ -239,6 +245,14 @@
         self._listeners.append((server, listener))
 
     async def _handle_call(self, request: BaseRequest) -> StreamResponse:
+        try:
+            return await self._answer(request)
+        finally:
+            connection = request.protocol
+            if isinstance(connection, CallerConnection):
+                connection.close_room()
+
+    async def _answer(self, request: BaseRequest) -> StreamResponse:
         caller = _HttpCaller(request, lambda: self.is_closing)
         try:
             call = await decode_call(request, self._caller_server.limits)
