Count TLS connections of serve from their first byte, with small buffers

Callers of a gateway with TLS saw it end: 560 idle connections took a process of 88 MiB to 225 MiB, 560 that never begin their handshake to 221, 200 with bodies short of their end to 135 (122 with their bodies counted).

Cause: asyncio allocates 256 KiB for each TLS connection, lets 256 KiB wait to be read and 512 KiB to be sent, and no connection was counted before its handshake was complete.

The buffer has the size of one record now; 8 KiB wait to be read and 64 KiB to be sent, as without TLS. A connection is counted as it is accepted, its handshake has the time limit of a head, and the number of TLS connections follows from 80 KiB each.

--- a/src/burdockledge/connections/__init__.py
+++ b/src/burdockledge/connections/__init__.py
@@ -17,7 +17,9 @@
     choose_closed,
 )
 from burdockledge.connections._limits import (
+    CONNECTION_BYTES,
     MIN_HELD_BYTES,
+    TLS_CONNECTION_BYTES,
     ConnectionLimits,
     derive_limits,
 )
@@ -34,10 +36,13 @@
     RoomKeeper,
     RoomRefusal,
 )
+from burdockledge.connections._tls import GuardedTls
 
 __all__ = (
     'CALL_BYTES',
+    'CONNECTION_BYTES',
     'MIN_HELD_BYTES',
+    'TLS_CONNECTION_BYTES',
     'WAITING_BYTES',
     'Body',
     'BodyFailure',
@@ -47,6 +52,7 @@
     'ConnectionLimits',
     'GuardedConnection',
     'GuardedTransport',
+    'GuardedTls',
     'HeldBytes',
     'Holding',
     'ProcessMemory',
--- a/src/burdockledge/connections/_limits.py
+++ b/src/burdockledge/connections/_limits.py
@@ -21,6 +21,8 @@
 _CONNECTIONS_DIVISOR: Final = 2
 # The protocol, parser, task and transport of an open connection.
 CONNECTION_BYTES: Final = 12 * 1024
+# The same with TLS: its keys, records and buffers.
+TLS_CONNECTION_BYTES: Final = 80 * 1024
 # Files, the store, other hosts and listeners.
 _RESERVED_DESCRIPTORS: Final = 200
 # A caller's call may need a connection to a server.
@@ -86,6 +88,7 @@
 
 __all__ = (
     'CONNECTION_BYTES',
+    'TLS_CONNECTION_BYTES',
     'SPARE_CONNECTIONS',
     'ConnectionLimits',
     'derive_limits',
--- a/src/burdockledge/connections/_listening.py
+++ b/src/burdockledge/connections/_listening.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
-    import ssl
     from collections.abc import Callable
 
 # asyncio accepts as many connections in one turn as may wait, before any of
@@ -20,7 +19,6 @@
     ip: str,
     port: int,
     backlog: int,
-    tls: ssl.SSLContext | None = None,
 ) -> asyncio.Server:
     """
     Listen on an address.
@@ -31,7 +29,7 @@
     listener = socket.create_server((ip, port), family=family)
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
-        make_protocol, sock=listener, backlog=_ACCEPTED_PER_TURN, ssl=tls
+        make_protocol, sock=listener, backlog=_ACCEPTED_PER_TURN
     )
     listener.listen(backlog)
     return server
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -138,6 +138,7 @@
         """Count the connection, and limit what is read at once."""
         super().connection_made(transport)
         self._limit_read(_PARSE_BYTES)
+        self._limit_buffers()
         self._guard.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -277,6 +278,13 @@
         if self.counted_bytes:
             self._guard.note(self)
 
+    def _limit_buffers(self) -> None:
+        """Limit the buffers of TLS, which are larger than those of sockets."""
+        transport: Any = self.transport
+        if transport.get_extra_info('sslcontext') is not None:
+            transport.set_read_buffer_limits(_PARSE_BYTES)
+            transport.set_write_buffer_limits(READ_BYTES)
+
     def _limit_read(self, size: int) -> None:
         """Limit what is read from the socket at once."""
         transport: Any = self.transport
--- a/src/burdockledge/gateway/_server.py
+++ b/src/burdockledge/gateway/_server.py
@@ -10,9 +10,12 @@
 from aiohttp import web
 
 from burdockledge.connections import (
+    CONNECTION_BYTES,
+    TLS_CONNECTION_BYTES,
     ConnectionBudget,
     ConnectionGuard,
     GuardedConnection,
+    GuardedTls,
     SystemMemory,
     listen,
 )
@@ -69,6 +72,7 @@
             ConnectionBudget(
                 settings.memory_mb and settings.memory_mb * _BYTES_PER_MB,
                 settings.max_fds,
+                CONNECTION_BYTES if tls is None else TLS_CONNECTION_BYTES,
             ),
             components.metrics,
             time.monotonic,
@@ -122,7 +126,7 @@
         settings = self._components.settings
         ip, _, port = settings.caller_address.rpartition(':')
         self._server = await listen(
-            self._make_protocol, ip.strip('[]'), int(port), _BACKLOG, self._tls
+            self._make_protocol, ip.strip('[]'), int(port), _BACKLOG
         )
         _log.info('Listening.', address=settings.caller_address)
 
@@ -132,7 +136,18 @@
             self._server.close()
         await self._runner.cleanup()
 
-    def _make_protocol(self) -> HeadTimeoutProtocol:
+    def _make_protocol(self) -> asyncio.BaseProtocol:
+        protocol = self._make_http_protocol()
+        if self._tls is None:
+            return protocol
+        return GuardedTls(
+            protocol,
+            self._tls,
+            self._guard,
+            self._components.settings.header_timeout_seconds,
+        )
+
+    def _make_http_protocol(self) -> HeadTimeoutProtocol:
         server = self._runner.server
         if server is None:
             raise RuntimeError('the gateway was not started')
--- a/tests/flood/test_body_crowds_at_gateway.py
+++ b/tests/flood/test_body_crowds_at_gateway.py
@@ -43,6 +43,7 @@
     ),
     Crowd('bodies sent ahead', 'serve', 60, once(ledger_request(50_000) * 20)),
     Crowd('idle connections', 'tls', 560, once(b'')),
+    Crowd('connections without a handshake', 'tls', 560, once(b'')),
     Crowd(
         'bodies short of their end',
         'tls',
@@ -71,6 +72,8 @@
         settings |= {'tls_certificate': certificate, 'tls_key': key}
         tls = ssl.create_default_context(cafile=str(authority.path))
 
+    crowd_tls = None if 'handshake' in crowd.name else tls
+
     async def run() -> None:
         gateway = CrowdedGateway(tmp_path, settings, tls)
         await gateway.start()
@@ -82,7 +85,9 @@
             for _ in range(crowd.count):
                 tasks.append(
                     asyncio.create_task(
-                        hold_connection(gateway.ip, gateway.port, crowd, tls)
+                        hold_connection(
+                            gateway.ip, gateway.port, crowd, crowd_tls
+                        )
                     )
                 )
             loop = asyncio.get_running_loop()
