--- a/src/burdockledge/platform/_calls.py
+++ b/src/burdockledge/platform/_calls.py
@@ -32,7 +32,7 @@
 # The largest number of tokens in the messages of the hosts.
 _MAX_TOKENS: Final = (1 << 31) - 1
 PART_ID_MASK: Final = (1 << 32) - 1
-_STATUS_BY_FAILURE: Final = {
+STATUS_BY_FAILURE: Final = {
     BodyFailure.too_large: _TOO_LARGE,
     BodyFailure.stopped: _REQUEST_TIMEOUT,
     BodyFailure.broken: _BAD_REQUEST,
@@ -241,7 +241,7 @@
             'there is no room for the request',
             failure.retry_after_seconds,
         )
-    raise BadCallError(_STATUS_BY_FAILURE[failure], failure.value)
+    raise BadCallError(STATUS_BY_FAILURE[failure], failure.value)
 
 
 def _keep_room(request: BaseRequest) -> Callable[[], None] | None:
@@ -316,6 +316,7 @@
 
 __all__ = (
     'PART_ID_MASK',
+    'STATUS_BY_FAILURE',
     'BadCallError',
     'call_rate_limit',
     'decode_call',
