Break off responses last, and read and send in smaller parts

A response that had begun could be broken off for new requests: their room lowered the bound of all else that connections hold.

Heads, waiting requests and unread responses may take half of the budget now, whatever requests take, and responses that have begun are closed last among them. The peak came from the bytes that all streams read in one turn, 64 KiB each and several copies, before any of them is paused: sockets are read in parts of 32 KiB, and 16 KiB instead of 64 wait to be sent before the server is no longer read.

The row on responses of the table of choices is new; the others are unchanged.

--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -39,8 +39,9 @@
 _PIECES_PER_TURN: Final = 4
 _MEASURED_KINDS: Final = ('heads', 'requests', 'responses')
 # What connections hold besides bodies and calls may take this part of the
-# bound in any case.
-_KEPT_DIVISOR: Final = 4
+# bound, whatever the others take: a response that has begun is not broken off
+# for a new request or connection.
+_MEASURED_DIVISOR: Final = 2
 # The bounds follow what is held in calm: the process learns as it runs.
 _CALM_PERIOD_SECONDS: Final = 5.0
 _MAX_CALM_HELD_BYTES: Final = 1024 * 1024
@@ -222,6 +223,7 @@
                 connection.counted_bytes,
                 now - connection.holds_since,
                 connection.is_idle,
+                is_answering=connection.measure().responses > 0,
             )
             for connection in self._connections
         ]
@@ -270,11 +272,7 @@
         return self._connection_bytes() + self._total + self.rooms.waiting_bytes
 
     def _max_measured_bytes(self) -> int:
-        limit = self.limits.held_bytes
-        return max(
-            limit // _KEPT_DIVISOR,
-            limit - self.rooms.taken_bytes - self._connection_bytes(),
-        )
+        return self.limits.held_bytes // _MEASURED_DIVISOR
 
     def _note_calm(self, now: float) -> None:
         """Derive the bounds anew if hardly anything is held for callers."""
--- a/src/burdockledge/connections/_holdings.py
+++ b/src/burdockledge/connections/_holdings.py
@@ -49,13 +49,15 @@
     """
     What one connection holds, and for how long.
 
-    An idle connection waits for a request.
+    An idle connection waits for a request; an answering one has a response
+    that its caller does not read.
     """
 
     key: KeyT
     held_bytes: int
     seconds: float
     is_idle: bool
+    is_answering: bool = False
 
     @property
     def weight(self) -> float:
@@ -72,7 +74,8 @@
     Return the connections to close, those that hold most for longest first.
 
     Within both bounds none is closed. A call in flight that holds nothing is
-    never closed.
+    never closed. Responses that have begun are broken off only if that does
+    not suffice.
     """
     excess = _Excess(
         _excess(sum(one.held_bytes for one in holdings), max_bytes),
@@ -81,9 +84,7 @@
     if not excess.remains:
         return []
     closed: list[KeyT] = []
-    for holding in sorted(
-        holdings, key=lambda holding: holding.weight, reverse=True
-    ):
+    for holding in sorted(holdings, key=_rank):
         if not (excess.remains and holding.weight):
             break
         if excess.is_reduced_by(holding):
@@ -108,6 +109,11 @@
         return self.count > 0 or holding.held_bytes > 0
 
 
+def _rank(holding: Holding[KeyT]) -> tuple[bool, float]:
+    """Return what holdings are sorted by, the one to close first at first."""
+    return holding.is_answering, -holding.weight
+
+
 def _excess(amount: int, bound: int) -> int:
     """Return how much to free, 0 within the bound."""
     if amount <= bound:
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -46,6 +46,8 @@
 # Besides the transport's buffer, the handler holds the part of the response
 # that fills it and what that was made from.
 _WRITE_FACTOR: Final = 3
+# Beyond this, a response waits for its caller.
+_UNSENT_BYTES: Final = 16 * 1024
 # While a caller reads a response slowly, the connection to the server holds
 # what it has read ahead.
 _READ_AHEAD_BYTES: Final = 4 * READ_BYTES
@@ -279,11 +281,11 @@
             self._guard.note(self)
 
     def _limit_buffers(self) -> None:
-        """Limit the buffers of TLS, which are larger than those of sockets."""
+        """Limit what waits to be sent and, with TLS, what waits to be read."""
         transport: Any = self.transport
+        transport.set_write_buffer_limits(_UNSENT_BYTES)
         if transport.get_extra_info('sslcontext') is not None:
             transport.set_read_buffer_limits(_PARSE_BYTES)
-            transport.set_write_buffer_limits(READ_BYTES)
 
     def _limit_read(self, size: int) -> None:
         """Limit what is read from the socket at once."""
--- a/src/burdockledge/http_client/_connection.py
+++ b/src/burdockledge/http_client/_connection.py
@@ -29,7 +29,7 @@
 
 # What is taken from a socket at once, and what a body may have unread before
 # its socket is no longer read.
-READ_BYTES: Final = 64 * 1024
+READ_BYTES: Final = 32 * 1024
 # Parsed at once: a head has 16 bytes or more, but takes over a kilobyte of
 # memory.
 _PARSE_BYTES: Final = 8 * 1024
--- a/tests/connections/test_holdings.py
+++ b/tests/connections/test_holdings.py
@@ -15,10 +15,10 @@
 
 
 def holding(
-    key: str, size: int = 0, seconds: float = 1, *, is_idle: bool = False
+    key: str, size: int = 0, seconds: float = 1, **states: bool
 ) -> Holding[str]:
     """Return what one connection holds."""
-    return Holding(key, size, seconds, is_idle)
+    return Holding(key, size, seconds, **{'is_idle': False, **states})
 
 
 CALM = [holding('a', 100), holding('b', is_idle=True)]
@@ -63,6 +63,17 @@
             [],
             id='calls in flight are not closed',
         ),
+        pytest.param(
+            [
+                holding('a', 90, 9, is_answering=True),
+                holding('b', 30),
+                holding('c', 20),
+            ],
+            120,
+            9,
+            ['b', 'c'],
+            id='responses that have begun last',
+        ),
     ],
 )
 def test_choice(
@@ -107,6 +118,7 @@
     assert limits.held_bytes // MEBIBYTE == held_mebibytes
     assert limits.connections == connections
     if limits.held_bytes > MIN_HELD_BYTES:
-        # No kind is left with less than a quarter by the others.
+        # Connections and what they hold may take half each, and leave a
+        # quarter to requests.
         most = limits.held_bytes * 1.25 + limits.large_answer_bytes
         assert most < ((memory_mebibytes or 200) - calm_mebibytes) * MEBIBYTE
