Let a whole request that fits pass the bodies that wait

Callers with short requests waited up to 0.1 s behind the bodies of a crowd though the quarter that is kept for them was free: a request took room at once only if none waited. Now only a whole request in front holds another one up, and room is granted as a request is queued, not at the next review.

--- a/src/burdockledge/connections/_bodies.py
+++ b/src/burdockledge/connections/_bodies.py
@@ -19,6 +19,10 @@
 
     from burdockledge.connections._protocol import GuardedConnection
 
+Body = bytes | bytearray
+# Called with the bytes of a body that have been received.
+_Grow = Callable[[int], Awaitable[Result[None, RoomRefusal]]]
+
 # Room that a body of unknown length has at least beyond what was received.
 _UNREAD_BYTES: Final = 3 * READ_BYTES
 
@@ -31,9 +35,6 @@
     broken = 'the body is broken'
 
 
-Body = bytes | bytearray
-
-
 async def receive_body(
     request: BaseRequest,
     max_bytes: int,
@@ -73,9 +74,6 @@
     return await receiver.receive(_keep_size)
 
 
-_Grow = Callable[[int], Awaitable[Result[None, RoomRefusal]]]
-
-
 def _take_whole(
     request: BaseRequest,
     connection: GuardedConnection,
@@ -150,7 +148,7 @@
         """
         Return the body; its parts are joined as they come.
 
-        :param grow: called with the bytes that were received.
+        :param grow: adds room as the body grows.
         """
         first = await self._receive_part()
         is_complete = isinstance(first, Err) or self._content.at_eof()
--- a/src/burdockledge/connections/_rooms.py
+++ b/src/burdockledge/connections/_rooms.py
@@ -16,11 +16,10 @@
 CALL_BYTES: Final = 27 * 1024
 # The task and objects of a request that waits.
 WAITING_BYTES: Final = 16 * 1024
-# A part of the bound that large bodies leave to calls which came as a whole,
-# and that no other kind of holding can take from requests.
+# Bodies that are still to be received leave this part of the bound to requests
+# which came as a whole. Requests get it whatever connections hold besides.
 _KEPT_DIVISOR: Final = 4
-# How long a request waits for room. Most room that comes free at all does so
-# within this time, and callers can use what is left of theirs elsewhere.
+# How long a request waits for room: its caller may try another host then.
 _MAX_WAIT_SECONDS: Final = 1.0
 _REVIEW_SECONDS: Final = 0.1
 # While others wait, a body has to grow by this much within this time.
@@ -47,6 +46,7 @@
 
     ``is_receiving``: whether parts of its body are still to come.
     ``progressed_at`` is when it last grew by much, in seconds of the clock.
+    ``is_ending``: whether its connection is being closed for other requests.
     ``is_body_kept``: whether the body may be held longer than the request.
     """
 
@@ -160,7 +160,9 @@
     ) -> Room[KeyT] | None:
         """Return what ``take`` returns, None if it would have to wait."""
         size = CALL_BYTES + body_bytes
-        if self._waiters or not self._fits(size, is_whole=is_whole):
+        if self._has_waiter_before(is_whole=is_whole):
+            return None
+        if not self._fits(size, is_whole=is_whole):
             return None
         self.taken_bytes += size
         return self._add(key, size, is_whole=is_whole)
@@ -219,6 +221,12 @@
         self._rooms[room] = None
         return room
 
+    def _has_waiter_before(self, *, is_whole: bool) -> bool:
+        """Return whether another request has to be granted room first."""
+        if is_whole:
+            return bool(self._waiters) and self._waiters[0].is_whole
+        return bool(self._waiters)
+
     def _fits(self, size: int, *, is_whole: bool, own_bytes: int = 0) -> bool:
         if self.taken_bytes <= own_bytes:
             # A single request is served even if it exceeds the bound.
@@ -304,9 +312,9 @@
 
     def _review(self) -> None:
         """Grant what came free, and close what does not grow, repeatedly."""
+        self._grant()
         if self._review_handle is not None:
             return
-        self._grant()
         self._note_freed(self.clock())
         if self._waiters:
             self._close_stalled()
--- a/tests/connections/test_rooms.py
+++ b/tests/connections/test_rooms.py
@@ -218,3 +218,19 @@
         assert requests.keeper.taken_bytes == expected
 
     run(scenario)
+
+
+def test_a_whole_request_that_fits_does_not_wait_behind_a_body() -> None:
+    """Guards against small calls that are late though there is room."""
+
+    async def scenario() -> None:
+        requests = Requests()
+        assert await requests.take('held', LARGE)
+        requests.rooms['held'].is_receiving = False
+        body = asyncio.ensure_future(requests.take('body', LARGE))
+        await asyncio.sleep(0)
+        assert requests.keeper.take_now('whole', SMALL, is_whole=True)
+        assert requests.keeper.take_now('other', SMALL, is_whole=False) is None
+        assert not await body
+
+    run(scenario)
