Receive and send large bodies at less cost

A connection stopped being read after 4 KiB of a body until its handler ran, bodies with room were read in parts of 32 KiB and sent in parts of 16. Reading stops only if a request has to wait now, and parts have 64 and 32 KiB; the end of a body is seen with its last part.

Open: between 8 and 64 KiB a body takes two reads instead of one.

--- a/src/burdockledge/connections/_bodies.py
+++ b/src/burdockledge/connections/_bodies.py
@@ -11,8 +11,8 @@
 from aiohttp.web_protocol import RequestPayloadError
 from result import Err, Ok, Result
 
+from burdockledge.connections._limits import UPLOAD_READ_BYTES
 from burdockledge.connections._rooms import RoomRefusal
-from burdockledge.http_client import READ_BYTES
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
@@ -24,7 +24,7 @@
 _Grow = Callable[[int], Awaitable[Result[None, RoomRefusal]]]
 
 # Room that a body of unknown length has at least beyond what was received.
-_UNREAD_BYTES: Final = 3 * READ_BYTES
+_UNREAD_BYTES: Final = 3 * UPLOAD_READ_BYTES
 
 
 class BodyFailure(enum.Enum):
@@ -67,7 +67,7 @@
         return Err(taken.err_value)
     if not request.body_exists:
         return Ok(b'')
-    content.set_read_chunk_size(READ_BYTES)
+    content.set_read_chunk_size(UPLOAD_READ_BYTES)
     receiver = _Receiver(request, connection, max_bytes, idle_seconds)
     if length is None:
         return await receiver.receive(partial(_grow, connection, factor))
@@ -127,6 +127,16 @@
     return await connection.grow_room(needed)
 
 
+def _joined(body: Body, part: bytes) -> Body:
+    """Return a body with another part, in its buffer if it has one."""
+    if not body:
+        return part
+    if isinstance(body, bytes):
+        body = bytearray(body)
+    body += part
+    return body
+
+
 class _Receiver:
     """Receives one body."""
 
@@ -150,24 +160,21 @@
 
         :param grow: adds room as the body grows.
         """
-        first = await self._receive_part()
-        is_complete = isinstance(first, Err) or self._content.at_eof()
-        if is_complete and len(first.unwrap_or(b'')) <= self._max_bytes:
-            self._connection.end_receiving()
-            return first
-        body = bytearray()
-        received: Result[bytes, BodyFailure] = first
-        while isinstance(received, Ok) and received.ok_value:
-            body += received.ok_value
-            self._connection.note_received(len(received.ok_value))
+        body: Body = b''
+        while True:
+            received = await self._receive_part()
+            if isinstance(received, Err):
+                return received
+            body = _joined(body, received.ok_value)
             if len(body) > self._max_bytes:
                 return Err(BodyFailure.too_large)
+            if self._content.at_eof():
+                self._connection.end_receiving()
+                return Ok(body)
+            self._connection.note_received(len(received.ok_value))
             grown = await grow(len(body))
             if isinstance(grown, Err):
                 return grown
-            received = await self._receive_part()
-        self._connection.end_receiving()
-        return received if isinstance(received, Err) else Ok(body)
 
     async def _receive_part(self) -> Result[bytes, BodyFailure]:
         """Return the next bytes of the body, empty at its end."""
--- a/src/burdockledge/connections/_limits.py
+++ b/src/burdockledge/connections/_limits.py
@@ -23,6 +23,8 @@
 CONNECTION_BYTES: Final = 12 * 1024
 # The same with TLS: its keys, records and buffers.
 TLS_CONNECTION_BYTES: Final = 80 * 1024
+# What is read at once of a body that has room.
+UPLOAD_READ_BYTES: Final = 64 * 1024
 # Files, the store, other hosts and listeners.
 _RESERVED_DESCRIPTORS: Final = 200
 # A caller's call may need a connection to a server.
@@ -89,6 +91,7 @@
 __all__ = (
     'CONNECTION_BYTES',
     'TLS_CONNECTION_BYTES',
+    'UPLOAD_READ_BYTES',
     'SPARE_CONNECTIONS',
     'ConnectionLimits',
     'derive_limits',
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -11,6 +11,7 @@
 
 from burdockledge.connections._guard import GuardedTransport
 from burdockledge.connections._holdings import CloseCause, HeldBytes
+from burdockledge.connections._limits import UPLOAD_READ_BYTES
 from burdockledge.connections._rooms import Room, RoomRefusal
 from burdockledge.http_client import READ_BYTES
 
@@ -26,8 +27,8 @@
 # Parsed at once: the text of an error holds what could not be parsed. Also what
 # is read from the socket at once before there is room for a body.
 _PARSE_BYTES: Final = 8 * 1024
-# What a body may have unread before there is room for it is twice this.
-_UNADMITTED_BYTES: Final = 2 * 1024
+# What a body may have unread before its handler begins is twice this.
+_UNADMITTED_BYTES: Final = 8 * 1024
 # Of a body whose framing takes more than a quarter of its bytes; 2 KiB of
 # one-byte chunks take about 1 ms.
 _SMALL_PARSE_BYTES: Final = 2 * 1024
@@ -189,9 +190,14 @@
         """
         if self.take_room_now(body_bytes, is_whole=is_whole):
             return Ok(None)
-        taken = await self._guard.rooms.take(
-            self, body_bytes, is_whole=is_whole
-        )
+        self._pause_transport_reading()
+        try:
+            taken = await self._guard.rooms.take(
+                self, body_bytes, is_whole=is_whole
+            )
+        finally:
+            if not (self._reading_paused or self._buffer_paused):
+                self._resume_transport_reading()
         if isinstance(taken, Err):
             return Err(taken.err_value)
         self._hold(taken.ok_value)
@@ -276,7 +282,7 @@
     def _hold(self, room: Room[GuardedTransport]) -> None:
         self._room = room
         if room.is_receiving:
-            self._limit_read(READ_BYTES)
+            self._limit_read(UPLOAD_READ_BYTES)
         if self.counted_bytes:
             self._guard.note(self)
 
--- a/src/burdockledge/platform/_body_payload.py
+++ b/src/burdockledge/platform/_body_payload.py
@@ -12,7 +12,7 @@
     from burdockledge.calls import CallBody
 
 # Written at once: what the socket does not take is copied by the transport.
-_PART_BYTES: Final = 16 * 1024
+_PART_BYTES: Final = 32 * 1024
 
 
 class _BodyPayload(Payload):
