Close unfinished bodies first if there are too many connections

Suspected from reading the code: since such bodies are counted as room, their connections counted as calls in flight, which are never closed for the number of connections; if they hold all places, new callers are closed instead.

A connection whose body is not whole ranks like an idle one now, by the time since its last bytes, and gets 408. The new crowd of small bodies passes with and without the change, as a crowd that was refused leaves places free; the fault itself is not shown by a test.

--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -87,6 +87,11 @@
     def is_idle(self) -> bool:
         """Whether the connection waits for the head of a request."""
 
+    @property
+    def awaits_caller(self) -> bool:
+        """Whether it waits for bytes of its caller."""
+        return self.is_idle
+
     @property
     @abstractmethod
     def room_bytes(self) -> int:
@@ -222,7 +227,7 @@
                 connection,
                 connection.counted_bytes,
                 now - connection.holds_since,
-                connection.is_idle,
+                connection.awaits_caller,
                 is_answering=connection.measure().responses > 0,
             )
             for connection in self._connections
--- a/src/burdockledge/connections/_protocol.py
+++ b/src/burdockledge/connections/_protocol.py
@@ -84,6 +84,13 @@
         """Whether the connection waits for the head of a request."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def awaits_caller(self) -> bool:
+        """Whether it waits for a head or for the rest of a body."""
+        return self.is_idle or (
+            self._room is not None and self._room.is_receiving
+        )
+
     @property
     def room_bytes(self) -> int:
         """What the request in progress holds for its body and its call."""
--- a/tests/flood/hostile_crowds.py
+++ b/tests/flood/hostile_crowds.py
@@ -106,6 +106,12 @@
     ),
     Crowd('empty lines', 'front', 48, endless(b'', b'\r\n' * 8192)),
     Crowd('half bodies', 'front', 320, once(_HALF_BODY)),
+    Crowd(
+        'small bodies short of their end',
+        'front',
+        320,
+        once(request_bytes('/good/unsafe/', 'b', body=b'z' * 1000)[:-1]),
+    ),
     Crowd('requests sent ahead', 'front', 320, once(_PIPELINED_LARGE * 40)),
     Crowd('one-byte chunks', 'front', 24, endless(_CHUNKED_HEAD, _TINY_CHUNKS)),
     Crowd('idle connections', 'front', 420, once(b'')),
