Send the pieces of all crowds by one function

The crowd that drips its body had a copy of once() with another size of the pieces; once() takes the size now.

--- a/tests/flood/body_crowds.py
+++ b/tests/flood/body_crowds.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from tests.flood.flooded_host import FloodedHost, request_bytes
@@ -71,16 +71,6 @@
     return head + _CHUNK * (size // 1000)
 
 
-def in_parts(sent: bytes, size: int) -> Callable[[], Iterator[bytes]]:
-    """Return parts of some bytes."""
-
-    def parts() -> Iterator[bytes]:
-        for start in range(0, len(sent), size):
-            yield sent[start : start + size]
-
-    return parts
-
-
 # ``[:-1]``: one byte short of the end.
 BODY_CROWDS: Final = (
     Crowd(
@@ -105,7 +95,7 @@
         'bodies piece by piece',
         'front',
         300,
-        in_parts(kept_request('/good/unsafe/', 400_000)[:-1], 20_000),
+        once(kept_request('/good/unsafe/', 400_000)[:-1], 20_000),
         _DRIP_SECONDS,
     ),
     Crowd(
--- a/tests/flood/hostile_crowds.py
+++ b/tests/flood/hostile_crowds.py
@@ -56,12 +56,14 @@
             writer.transport.abort()
 
 
-def once(sent: bytes) -> Callable[[], Iterator[bytes]]:
-    """Return pieces that make up some bytes."""
+def once(
+    sent: bytes, size: int = _PIECE_BYTES
+) -> Callable[[], Iterator[bytes]]:
+    """Return pieces of a size that make up some bytes."""
 
     def pieces() -> Iterator[bytes]:
-        for start in range(0, len(sent), _PIECE_BYTES):
-            yield sent[start : start + _PIECE_BYTES]
+        for start in range(0, len(sent), size):
+            yield sent[start : start + size]
 
     return pieces
 
