Measure each connection once as some are closed

A choice over all connections measured each of them twice since responses are closed last: once to count it, once to see whether it answers. The count returns what it measured now.

--- a/src/burdockledge/connections/_guard.py
+++ b/src/burdockledge/connections/_guard.py
@@ -210,28 +210,27 @@
             return self.limits.connections
         return self.limits.connections + SPARE_CONNECTIONS
 
-    def _count(self, connection: GuardedTransport) -> None:
-        held_bytes = connection.measure().total
-        if held_bytes == connection.counted_bytes:
-            return
-        self._total += held_bytes - connection.counted_bytes
-        connection.counted_bytes = held_bytes
+    def _count(self, connection: GuardedTransport) -> HeldBytes:
+        measured = connection.measure()
+        self._total += measured.total - connection.counted_bytes
+        connection.counted_bytes = measured.total
+        return measured
 
     def _close_some(self, max_count: int, cause: CloseCause) -> None:
+        now = self._clock()
+        holdings: list[Holding[GuardedTransport]] = []
         for connection in self._connections:
             # What was read or sent meanwhile is held no longer.
-            self._count(connection)
-        now = self._clock()
-        holdings = [
-            Holding(
-                connection,
-                connection.counted_bytes,
-                now - connection.holds_since,
-                connection.awaits_caller,
-                is_answering=connection.measure().responses > 0,
+            measured = self._count(connection)
+            holdings.append(
+                Holding(
+                    connection,
+                    measured.total,
+                    now - connection.holds_since,
+                    connection.awaits_caller,
+                    is_answering=measured.responses > 0,
+                )
             )
-            for connection in self._connections
-        ]
         self._close(
             choose_closed(holdings, self._max_measured_bytes(), max_count),
             cause,
