Leave a silent server only for a place at another one

Safe calls got 502 while their only server worked.

Cause: the decision to leave asked for an attempt and for a retry of the budget, not for a server. That was looked for after the connection to the silent server had been closed.

Change: SilenceWatch asks while a stream or a response head is late, twice a second after the first time. CallMover takes a place at another server and a retry together, in one step of the event loop, or neither. MoveTargets leaves out servers that would make the call wait as well: unreachable, recovering or full ones. Progress before the connection is closed, the end of the call, and a search without a result give place and retry back. If the other servers refuse a moved call, it is resumed at the server that it left. One log line and one metric tell stay or leave, with the reason.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -11,6 +10,7 @@
 from burdockledge.calls import ResponseProgress, RouteKind
 from burdockledge.relay._admission_gate import log_refusal
 from burdockledge.relay._answer_memory import HeldAnswer, read_body
+from burdockledge.relay._call_mover import CallMover
 from burdockledge.relay._cut_cause import CutCause
 from burdockledge.relay._placer import Placer, Refusal
 from burdockledge.relay._ports import (
@@ -21,7 +21,9 @@
     StalledResponseError,
 )
 from burdockledge.relay._responder import BAD_GATEWAY, CUT, UNAVAILABLE
-from burdockledge.relay._routing_state import SendOutcome
+from burdockledge.relay._retry_rules import RetryRules
+from burdockledge.relay._routing_state import Placement, SendOutcome
+from burdockledge.relay._silence_watch import SilenceWatch
 from burdockledge.relay._stream_relay import StreamRelay
 from burdockledge.relay._usage_meter import NOT_RUN_STATUSES, UsageMeter
 from burdockledge.scheduling import CallResult
@@ -36,8 +38,9 @@
     from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._ports import ServerClient, ServerResponse
     from burdockledge.relay._responder import Responder
-    from burdockledge.relay._routing_state import Placement, RoutingState
+    from burdockledge.relay._routing_state import RoutingState
     from burdockledge.relay._served_call import ServedCall
+    from burdockledge.relay._silence_watch import SilenceListener
     from burdockledge.telemetry import Metrics
 
 _log = make_logger('relay')
@@ -45,10 +48,8 @@
 _OK: Final = 200
 _MULTIPLE_CHOICES: Final = 300
 _SERVER_ERROR: Final = 500
-# Limit on the sends of one call, including those that a server refused.
-_MAX_SENDS: Final = 4
 # An idempotent call without a response head after this multiple of its
-# route's latency target is sent to another server.
+# route's latency target is sent to another server that can begin it.
 _HEAD_TIMEOUT_TARGETS: Final = 2.0
 _MIN_HEAD_TIMEOUT_SECONDS: Final = 0.4
 _MS_PER_SECOND: Final = 1000
@@ -87,6 +88,8 @@
         self._client = client
         self._planned_stop = planned_stop
         self._placer = Placer(routing_state, planned_stop, clock)
+        self._retry_rules = RetryRules(routing_state)
+        self._mover = CallMover(routing_state, self._retry_rules, metrics)
         self._memory = answer_memory
         self.usage = UsageMeter()
         self._streams = StreamRelay(routing_state, clock, metrics, self.usage)
@@ -96,21 +99,10 @@
 
     async def forward(self, served: ServedCall) -> tuple[int, str]:
         """Send a call until its caller has a response."""
-        refusal = Refusal('no server is known')
-        while self._may_send(served):
-            placement = await self._placer.place(served)
-            if placement is None:
-                break
-            if isinstance(placement, Refusal):
-                refusal = placement
-                if placement.lack_of_room is not None:
-                    self._record_refusal(served, placement.lack_of_room)
-                break
-            result = await self._send_once(served, placement)
-            if not isinstance(result, str):
-                return result
-            refusal = Refusal(result)
-        return await self.give_up(served, refusal)
+        try:
+            return await self._send_until_answered(served)
+        finally:
+            self._mover.release(served)
 
     async def give_up(
         self, served: ServedCall, refusal: Refusal
@@ -134,38 +126,71 @@
         )
         log_refusal(served, refusal, self._state.age_ms())
 
-    def _may_send(self, served: ServedCall) -> bool:
+    async def _send_until_answered(self, served: ServedCall) -> tuple[int, str]:
+        refusal = Refusal('no server is known')
+        while True:
+            placement = await self._place_next(served)
+            if placement is None:
+                break
+            if isinstance(placement, Refusal):
+                refusal = placement
+                if placement.lack_of_room is not None:
+                    self._record_refusal(served, placement.lack_of_room)
+                break
+            result = await self._send_once(served, placement)
+            if not isinstance(result, str):
+                return result
+            refusal = Refusal(result)
+        return await self.give_up(served, refusal)
+
+    async def _place_next(
+        self, served: ServedCall
+    ) -> Placement | Refusal | None:
+        """
+        Place the next send of a call, if there may be one.
+
+        :return: None if the call may not be sent, or no server is left to try.
+        """
+        if served.next_placement is not None:
+            placement = served.next_placement
+            served.next_placement = None
+            return placement
         if not served.sends:
-            return True
-        if served.sends >= _MAX_SENDS or not served.call.body.is_kept:
-            return False
-        if served.has_retry:
-            served.has_retry = False
-            return True
-        reason = self._reason_not_to_retry(served)
-        if reason is None:
+            return await self._placer.place(served)
+        if not self._take_retry(served):
+            return None
+        placed: Placement | Refusal | None = None
+        try:
+            placed = await self._place_again(served)
+        finally:
+            if not isinstance(placed, Placement):
+                self._retry_rules.give_back(served)
+        return placed
+
+    async def _place_again(
+        self, served: ServedCall
+    ) -> Placement | Refusal | None:
+        placed = await self._placer.place(served)
+        if isinstance(placed, Placement) or not served.left_instance_ids:
+            return placed
+        # The servers that the call was moved to did not take it. The one that
+        # it left was silent, but may go on by now.
+        served.tried_instance_ids -= served.left_instance_ids
+        served.left_instance_ids.clear()
+        return await self._placer.place(served)
+
+    def _take_retry(self, served: ServedCall) -> bool:
+        obstacle = self._retry_rules.take_retry(served)
+        if obstacle is None:
             return True
         _log.info(
             'Not sent again.',
             request=served.call.request_id,
-            why=reason,
+            why=obstacle.value,
             attempts=served.route.max_attempts,
         )
         return False
 
-    def _reason_not_to_retry(self, served: ServedCall) -> str | None:
-        """Return why a call must not be sent again, None if it may be."""
-        if served.may_have_run:
-            if not served.is_idempotent:
-                return 'it may have run'
-            if served.runs >= served.route.max_attempts:
-                return 'no attempt is left'
-            if not self._state.may_repeat(served.service, served.call.prompt):
-                return 'a part of its prompt may crash servers'
-        if not self._state.take_retry(served.service):
-            return 'the retry budget is spent'
-        return None
-
     async def _send_once(
         self, served: ServedCall, placement: Placement
     ) -> tuple[int, str] | str:
@@ -201,7 +226,8 @@
     async def _send_and_relay(
         self, served: ServedCall, placement: Placement, outcome: SendOutcome
     ) -> tuple[int, str] | str:
-        received = await self._send_request(served, placement)
+        listener = self._mover.watch(served, placement, outcome)
+        received = await self._send_request(served, placement, listener)
         if isinstance(received, Err):
             failure = received.err_value
             if not failure.proves_not_run:
@@ -216,13 +242,16 @@
         try:
             with HeldAnswer(self._memory) as held:
                 return await self._relay_response(
-                    served, placement, outcome, response, held
+                    served, placement, outcome, response, held, listener
                 )
         finally:
             response.close()
 
     async def _send_request(
-        self, served: ServedCall, placement: Placement
+        self,
+        served: ServedCall,
+        placement: Placement,
+        listener: SilenceListener,
     ) -> Result[ServerResponse, SendFailure]:
         outbound = OutboundCall(
             call=served.call,
@@ -244,9 +273,13 @@
         may_have_run = served.may_have_run
         served.may_have_run = True
         try:
-            async with asyncio.timeout(timeout_seconds):
+            if timeout_seconds is None:
                 received = await self._client.send(outbound)
-        except TimeoutError:
+            else:
+                received = await SilenceWatch(timeout_seconds, listener).wait(
+                    self._client.send(outbound)
+                )
+        except (TimeoutError, StalledResponseError):
             return Err(SendFailure.silent)
         served.may_have_run = may_have_run
         return received
@@ -267,9 +300,11 @@
         outcome: SendOutcome,
         response: ServerResponse,
         held: HeldAnswer,
+        listener: SilenceListener,
     ) -> tuple[int, str] | str:
         read_at = self._clock.monotonic()
         outcome.progress = ResponseProgress.head
+        outcome.result = CallResult.abandoned
         self._state.note_response_start(placement, response.call_rate_limit)
         self._state.note_server_notice(placement, response.notice)
         if response.proves_not_run:
@@ -278,7 +313,7 @@
         self.usage.note_head(served, response, read_at)
         served.may_have_run = True
         served.runs += 1
-        if not self._has_attempt_left(served):
+        if not self._retry_rules.has_attempt_left(served):
             served.call.body.give_up()
         is_success = _OK <= response.status < _MULTIPLE_CHOICES
         is_stream = served.route.kind is RouteKind.stream
@@ -296,8 +331,8 @@
                     outcome,
                     response,
                     held,
-                    may_resume=self._has_attempt_left(served),
-                    may_leave=partial(self._may_leave, served),
+                    may_resume=self._retry_rules.has_attempt_left(served),
+                    silence_listener=listener,
                 )
                 outcome.result = CallResult.answered
                 return response.status, 'answered'
@@ -324,7 +359,7 @@
         outcome.progress = ResponseProgress.content
         if response.status >= _SERVER_ERROR:
             outcome.result = CallResult.failed
-            if self._has_attempt_left(served):
+            if self._retry_rules.has_attempt_left(served):
                 return f'the server failed with {response.status}'
         else:
             outcome.result = CallResult.answered
@@ -337,24 +372,6 @@
         )
         return response.status, 'answered'
 
-    def _has_attempt_left(self, served: ServedCall) -> bool:
-        return (
-            served.is_idempotent
-            and served.runs < served.route.max_attempts
-            and served.sends < _MAX_SENDS
-        )
-
-    def _may_leave(self, served: ServedCall) -> bool:
-        """Take a retry for a stream that stalls, if there is one."""
-        if served.has_retry or not self._has_attempt_left(served):
-            return served.has_retry
-        reason = self._reason_not_to_retry(served)
-        _log.info(
-            'Stream stalls.', request=served.call.request_id, stays_for=reason
-        )
-        served.has_retry = reason is None
-        return served.has_retry
-
     def _log_placement(self, served: ServedCall, placement: Placement) -> None:
         _log.info(
             'Placed.',
--- a/src/burdockledge/relay/_replicated_state.py
+++ b/src/burdockledge/relay/_replicated_state.py
@@ -11,6 +11,7 @@
 from burdockledge.relay._admission_gate import AdmissionGate
 from burdockledge.relay._call_codec import decode_call_start, encode_call_start
 from burdockledge.relay._limit_guard import LimitGuard, limit_on_the_wire
+from burdockledge.relay._move_targets import MoveTargets
 from burdockledge.relay._part_guard import PartGuard
 from burdockledge.relay._record_decoder import RecordDecoder
 from burdockledge.relay._retry_budget import (
@@ -107,6 +108,7 @@
         self.parts = PartGuard(exchange, clock, random)
         self.limits = LimitGuard(exchange, clock, random)
         self.gate = ServerGate(registry, self.limits.limits)
+        self._move_targets = MoveTargets(self.gate, self._health, self._loads)
         self.parts.services = self._service_names
         self._routes: RouteIndex | None = None
         self._routes_since = 0.0
@@ -222,6 +224,29 @@
             admitted.run_seconds,
         )
 
+    def place_elsewhere(
+        self, served: ServedCall, silent: Placement
+    ) -> Placement | Selection:
+        """Place a call at a server that can begin it now, if there is one."""
+        now = self._clock.monotonic()
+        tried_ids = frozenset(served.tried_instance_ids)
+        lack = self._move_targets.known_lack(silent.instance, tried_ids, now)
+        if lack is not None:
+            return lack
+        request = self._request(
+            served.service, served.route, served.urgency, served.call.prompt
+        )
+        selection = self._move_targets.narrow(
+            self._select(request, served.route, tried_ids, now),
+            silent.instance,
+            now,
+        )
+        choice = self._choose(selection, request, now)
+        if choice is None:
+            self._move_targets.note_lack(silent.instance, tried_ids, now)
+            return selection
+        return self._start(request, choice, selection, now)
+
     def note_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
         """Remember a call whose caller is told to come back."""
         if self._admission is not None:
@@ -410,6 +435,10 @@
             self._clock.monotonic(), self.host_count()
         )
 
+    def give_back_retry(self, service: str) -> None:
+        """Return a retry that was taken and not used."""
+        self._budgets.of(service).give_back()
+
     def apply_retry_settings(self, retry_settings: RetryBudgetSettings) -> None:
         """Change the limits of every retry budget, also of those in use."""
         self._budgets.apply_retry_settings(retry_settings)
--- a/src/burdockledge/relay/_retry_budget.py
+++ b/src/burdockledge/relay/_retry_budget.py
@@ -66,6 +66,16 @@
         self._retries.append(now)
         return True
 
+    def give_back(self) -> None:
+        """
+        Count a retry no longer that was not used after all.
+
+        Which one it was is not known. Without the oldest one, what still
+        counts expires no earlier than the retries that were used.
+        """
+        if self._retries:
+            self._retries.popleft()
+
     def is_unused(self, now: float) -> bool:
         """Return whether nothing counts in the current window."""
         self._drop_expired(now)
--- a/src/burdockledge/relay/_routing_state.py
+++ b/src/burdockledge/relay/_routing_state.py
@@ -17,6 +17,7 @@
     from burdockledge.quarantine import Verdict
     from burdockledge.relay._routes import RouteIndex
     from burdockledge.relay._served_call import ServedCall
+    from burdockledge.relay._server_gate import Selection
     from burdockledge.scheduling import ServerNotice
 
 
@@ -129,6 +130,21 @@
             frozenset(served.tried_instance_ids),
         )
 
+    @abstractmethod
+    def place_elsewhere(
+        self, served: ServedCall, silent: Placement
+    ) -> Placement | Selection:
+        """
+        Place a call whose server is silent, if another one can begin it now.
+
+        Unlike ``place``, it chooses no server that answers nobody or has all
+        slots taken: the silent server may go on sooner. A server with all
+        slots taken is chosen only if the silent one answers nobody either.
+
+        :param silent: the placement at the silent server.
+        :return: an empty selection with those left out, if none is chosen.
+        """
+
     @abstractmethod
     def note_refusal(self, served: ServedCall, refusal: LoadRefusal) -> None:
         """Record that the caller is told to come back."""
@@ -197,6 +213,10 @@
     def take_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; return False without one."""
 
+    @abstractmethod
+    def give_back_retry(self, service: str) -> None:
+        """Return a retry that was taken and not used."""
+
     @abstractmethod
     def age_ms(self) -> int:
         """Return the age of the older of configuration and server records."""
--- a/src/burdockledge/relay/_served_call.py
+++ b/src/burdockledge/relay/_served_call.py
@@ -12,6 +12,7 @@
     from burdockledge.admission import AdmissionCall
     from burdockledge.calls import ForwardedCall, Route, Team
     from burdockledge.relay._ports import CallerPort
+    from burdockledge.relay._routing_state import Placement
 
 _LOWEST_URGENCY: Final = 9
 # How many route tiers are distinguished within one team tier.
@@ -36,9 +37,10 @@
     ``arrived_at``, ``deadline`` and ``last_write_at`` are in seconds of the
     monotonic clock. ``version`` is the version of the configuration that
     admitted the call. ``tried_instance_ids`` holds the instances to
-    which it was sent. ``sends`` counts all sends, ``runs`` those after which
-    the call may have run. ``has_retry``: the retry budget has
-    granted the next send. ``admission`` is asked for room before the first
+    which it was sent, ``left_instance_ids`` those of them that were left as
+    they were silent. ``sends`` counts all sends, ``runs`` those after which
+    the call may have run. ``next_placement`` is reserved for the next send,
+    with a retry of the budget. ``admission`` is asked for room before the first
     send, None if that was not yet needed. ``is_counted``: it counts in the
     usage of its team. ``cut_cause`` is why the answer is incomplete, if it
     ends now. ``media_type`` is that of a stream that began.
@@ -56,10 +58,11 @@
     deadline: float
     version: int
     tried_instance_ids: set[str] = field(default_factory=set)
+    left_instance_ids: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
-    has_retry: bool = False
+    next_placement: Placement | None = None
     admission: AdmissionCall | None = None
     is_counted: bool = False
     has_response_started: bool = False
--- a/src/burdockledge/relay/_server_gate.py
+++ b/src/burdockledge/relay/_server_gate.py
@@ -35,6 +35,8 @@
     recovering = 'no answer has come since its pause'
     departure = 'it leaves before the stream would end'
     unregistered = 'its registration is gone or draining'
+    unreachable = 'calls to it got no answer lately'
+    full = 'all of its slots are taken'
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +63,25 @@
 
         :param seconds_at: returns how long the stream takes at a server.
         """
-        lasting = departures.lasting(self.instances, seconds_at, now)
+        return self._narrow(
+            departures.lasting(self.instances, seconds_at, now),
+            Obstacle.departure,
+        )
+
+    def without(
+        self, obstacle: Obstacle, has_obstacle: Callable[[ServerInstance], bool]
+    ) -> Selection:
+        """Leave out the servers that have an obstacle."""
+        return self._narrow(
+            [one for one in self.instances if not has_obstacle(one)], obstacle
+        )
+
+    def _narrow(
+        self, instances: list[ServerInstance], obstacle: Obstacle
+    ) -> Selection:
         left_out = Counter(self.left_out)
-        left_out[Obstacle.departure] += len(self.instances) - len(lasting)
-        return Selection(lasting, +left_out)
+        left_out[obstacle] += len(self.instances) - len(instances)
+        return Selection(instances, +left_out)
 
 
 class ServerGate:
--- a/src/burdockledge/relay/_stream_relay.py
+++ b/src/burdockledge/relay/_stream_relay.py
@@ -2,21 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
-from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from burdockledge.calls import ResponseProgress
 from burdockledge.relay._event_buffer import MAX_EVENT_BYTES
-from burdockledge.relay._ports import (
-    IncompleteResponseError,
-    StalledResponseError,
-)
+from burdockledge.relay._ports import IncompleteResponseError
+from burdockledge.relay._silence_watch import SilenceWatch
 from burdockledge.scheduling import CallResult
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
-
     from burdockledge.clock import Clock
     from burdockledge.relay._answer_memory import HeldAnswer
     from burdockledge.relay._ports import ServerResponse
@@ -26,6 +20,7 @@
         SendOutcome,
     )
     from burdockledge.relay._served_call import ServedCall
+    from burdockledge.relay._silence_watch import SilenceListener
     from burdockledge.relay._usage_meter import UsageMeter
     from burdockledge.telemetry import Metrics
 
@@ -40,57 +35,6 @@
 _ABANDON_PAUSE_TARGETS: Final = 8.0
 
 
-class _StallWatch:
-    """Ends the wait for a chunk if another server goes on with the stream."""
-
-    def __init__(
-        self, stall_seconds: float, on_stall: Callable[[], bool]
-    ) -> None:
-        """
-        Begin with the progress of now.
-
-        :param on_stall: called after each time without progress; returns
-            whether another server goes on.
-        """
-        self._loop = asyncio.get_running_loop()
-        self._stall_seconds = stall_seconds
-        self._on_stall = on_stall
-        self._timer: asyncio.TimerHandle | None = None
-        self._limit: asyncio.Timeout | None = None
-        self.note_progress()
-
-    def note_progress(self) -> None:
-        """Start the time anew."""
-        self._stalls_at = self._loop.time() + self._stall_seconds
-
-    async def next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
-        """
-        Return the next chunk of a response body, None at its end.
-
-        :raises IncompleteResponseError: if the body ends early.
-        :raises StalledResponseError: if it stalls, and another server goes on.
-        """
-        try:
-            async with asyncio.timeout(None) as limit:
-                self._limit = limit
-                self._timer = self._loop.call_at(
-                    self._stalls_at, self._note_stall
-                )
-                return await anext(chunks, None)
-        except TimeoutError as error:
-            raise StalledResponseError from error
-        finally:
-            if self._timer is not None:
-                self._timer.cancel()
-
-    def _note_stall(self) -> None:
-        if self._on_stall() and self._limit is not None:
-            self._limit.reschedule(self._loop.time())
-            return
-        self.note_progress()
-        self._timer = self._loop.call_at(self._stalls_at, self._note_stall)
-
-
 class StreamRelay:
     """Relays streams, and learns from their pauses."""
 
@@ -129,28 +73,27 @@
         held: HeldAnswer,
         *,
         may_resume: bool,
-        may_leave: Callable[[], bool],
+        silence_listener: SilenceListener,
     ) -> None:
         """
         Relay events as they arrive, each only once it is complete.
 
         Only a complete event counts as progress, so that a server that sends
         a byte now and then is recognised as stalled. The silence of a server
-        is no reason to end the stream, as long as no other server goes on.
+        is no reason to end the stream, as long as no other server takes it.
 
         :param may_resume: whether another server may be able to go on.
-        :param may_leave: asked when the stream stalls, whether another server
-            goes on with it.
+        :param silence_listener: decides on the stream when it stalls.
         :raises IncompleteResponseError: if the stream is left or cut off.
         """
         writes = 0
-        watch = _StallWatch(
+        watch = SilenceWatch(
             _stall_timeout_seconds(served, may_resume=may_resume),
-            partial(_note_stall, outcome, may_leave),
+            silence_listener,
         )
         chunks = response.chunks()
         while True:
-            chunk = await watch.next_chunk(chunks)
+            chunk = await watch.wait(anext(chunks, None))
             if chunk is None:
                 break
             read_at = self._clock.monotonic()
@@ -217,12 +160,6 @@
         await served.caller.start_response(response.status, response.headers)
 
 
-def _note_stall(outcome: SendOutcome, may_leave: Callable[[], bool]) -> bool:
-    """Count the server as silent, and return whether to leave it."""
-    outcome.result = CallResult.unreachable
-    return may_leave()
-
-
 def _media_type(response: ServerResponse) -> str | None:
     """Return the media type of a body without its parameters, if it has one."""
     for name, text in response.headers:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -39,6 +39,7 @@
     ServerResponse,
 )
 from burdockledge.relay._served_call import ServedCall
+from burdockledge.relay._server_gate import Selection
 from burdockledge.scheduling import CallResult, ServerNotice
 from burdockledge.telemetry import Metrics
 
@@ -113,7 +114,7 @@
         self.is_closed = True
 
 
-ScriptStep = FakeResponse | SendFailure | float
+ScriptStep = FakeResponse | SendFailure | float | tuple[float, FakeResponse]
 
 
 @dataclass
@@ -122,7 +123,7 @@
     Returns the scripted results in turn.
 
     A number is a time without a response, in seconds, after which the
-    connection breaks.
+    connection breaks, or the response with it begins.
     """
 
     script: list[ScriptStep]
@@ -140,6 +141,10 @@
         if isinstance(step, float):
             await asyncio.sleep(step)
             return Err(SendFailure.broken)
+        if isinstance(step, tuple):
+            seconds, response = step
+            await asyncio.sleep(seconds)
+            return Ok(response)
         return Ok(step)
 
 
@@ -206,6 +211,19 @@
                 return Placement(number, instance, 0, 0, 0)
         return None
 
+    def place_elsewhere(
+        self, served: ServedCall, silent: Placement
+    ) -> Placement | Selection:
+        """Place a call as ``place`` does."""
+        placement = self.place(
+            served.service,
+            served.route,
+            served.urgency,
+            served.call.prompt,
+            frozenset(served.tried_instance_ids),
+        )
+        return Selection([]) if placement is None else placement
+
     def seconds_until_usable(
         self, service: str, tried_instance_ids: frozenset[str]
     ) -> float | None:
@@ -258,6 +276,10 @@
         self.retries_left -= 1
         return self.retries_left >= 0
 
+    def give_back_retry(self, service: str) -> None:
+        """Allow one more retry."""
+        self.retries_left += 1
+
     def age_ms(self) -> int:
         """Return a fixed age."""
         return 5
--- a/tests/relay/test_silent_streams.py
+++ b/tests/relay/test_silent_streams.py
@@ -12,6 +12,7 @@
 from burdockledge.scheduling import CallResult
 from tests.relay.fakes import (
     RESUMABLE_ROUTE,
+    SAFE_ROUTE,
     STREAM_ROUTE,
     FakeResponse,
     FakeRoutingState,
@@ -25,7 +26,7 @@
     7,
     tuple(
         replace(route, timeout_seconds=TIMEOUT_SECONDS)
-        for route in (STREAM_ROUTE, RESUMABLE_ROUTE)
+        for route in (STREAM_ROUTE, RESUMABLE_ROUTE, SAFE_ROUTE)
     ),
     {},
     {'key': Team('team', None)},
