Resume at a silent engine of serve that no other one replaces

What callers saw: an answer of serve ended with an error (no_server) after the only engine had sent no byte for silence_seconds, although it went on later. A generation that may run only once ended as "unknown" in the same way, though nothing can replace it.

Change: after a silence, an engine that no other one replaces is not excluded from the next attempt, which resumes after the last token. A call that may run only once has no read timeout but the time until its deadline. The fake engine does the same.

--- a/src/burdockledge/backends/_engine.py
+++ b/src/burdockledge/backends/_engine.py
@@ -28,7 +28,8 @@
     rejected = 'rejected'
     # The connection broke, or the engine answered with another status.
     interrupted = 'interrupted'
-    # The connect or read timeout expired.
+    # The connect or read timeout, or the deadline of an at-most-once call, has
+    # expired.
     silent = 'silent'
     # Data of another request, or an oversized event, arrived.
     crossed = 'crossed'
@@ -45,7 +46,8 @@
     ``body`` is the caller's JSON object. The lowest ``priority`` is served
     first. ``deadline_ms`` is the time from the arrival of the call to its
     deadline. ``resume_from`` is the number of tokens that the caller has
-    already received. A call that ``is_at_most_once`` is sent over a new
+    already received. ``remaining_seconds`` is the time until its deadline as
+    it is sent. A call that ``is_at_most_once`` is sent over a new
     connection, and is never retried once it may have run.
     """
 
@@ -56,6 +58,7 @@
     deadline_ms: int
     resume_from: int = 0
     is_at_most_once: bool = False
+    remaining_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdockledge/backends/_http_engine.py
+++ b/src/burdockledge/backends/_http_engine.py
@@ -36,7 +36,7 @@
     Calls engines over HTTP.
 
     At-most-once calls use a new connection each, other calls a connection
-    pool.
+    pool. Nothing can replace an at-most-once call, so it has no read timeout.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
                     'Content-Type': 'application/json',
                     REQUEST_ID_HEADER: call.request_id,
                 },
-                timeout=self._timeout,
+                timeout=self._timeout_of(call),
                 allow_redirects=False,
             ) as response:
                 if response.status != _OK:
@@ -98,6 +98,14 @@
         except aiohttp.ClientError as error:
             yield StreamEnd(EndKind.interrupted, detail=str(error))
 
+    def _timeout_of(self, call: EngineCall) -> aiohttp.ClientTimeout:
+        if not call.is_at_most_once or call.remaining_seconds is None:
+            return self._timeout
+        return aiohttp.ClientTimeout(
+            total=call.remaining_seconds,
+            sock_connect=self._timeout.sock_connect,
+        )
+
 
 async def _read_events(
     response: ClientResponse,
--- a/src/burdockledge/execution/_dispatch.py
+++ b/src/burdockledge/execution/_dispatch.py
@@ -10,6 +10,7 @@
 from burdockledge.placement import NoSlot, RatioBudget, Slot, SlotRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
     from random import Random
 
     from burdockledge.clock import Clock
@@ -67,10 +68,8 @@
         :param excluded_servers: must not be used, such as those tried.
         :return: a slot, or the problem to report to the caller.
         """
-        servers = tuple(
-            name for name in context.servers if name not in excluded_servers
-        )
-        if not any(self._servers.accepts_work(name) for name in servers):
+        servers = _remaining_servers(context, excluded_servers)
+        if not self.has_server(context, excluded_servers):
             return Err(
                 Problem(
                     ProblemCode.no_server,
@@ -98,6 +97,15 @@
             context, await self._broker.acquire(slot_request)
         )
 
+    def has_server(
+        self, context: RequestContext, excluded_servers: AbstractSet[str]
+    ) -> bool:
+        """Return whether another server of a request takes work now."""
+        return any(
+            self._servers.accepts_work(name)
+            for name in _remaining_servers(context, excluded_servers)
+        )
+
     def release(self, slot: Slot, tokens: int) -> None:
         """Release a slot and report the tokens it served."""
         self._broker.release(slot, tokens)
@@ -177,4 +185,12 @@
         )
 
 
+def _remaining_servers(
+    context: RequestContext, excluded_servers: AbstractSet[str]
+) -> tuple[str, ...]:
+    return tuple(
+        name for name in context.servers if name not in excluded_servers
+    )
+
+
 __all__ = ('Dispatcher',)
--- a/src/burdockledge/execution/_generation.py
+++ b/src/burdockledge/execution/_generation.py
@@ -92,7 +92,12 @@
             if isinstance(acquired, Err):
                 yield progress.failed_end(acquired.err_value)
                 return
-            resumed_call = replace(call, resume_from=progress.tokens)
+            resumed_call = replace(
+                call,
+                resume_from=progress.tokens,
+                remaining_seconds=context.deadline
+                - self._dispatcher.clock.monotonic(),
+            )
             attempt = Attempt(
                 self._dispatcher,
                 self._engine_client,
@@ -198,6 +203,8 @@
             )
         progress.may_have_run |= end.kind not in _NOT_RUN_END_KINDS
         progress.tried_servers.add(attempt.slot.server)
+        if end.kind is EndKind.silent and not call.is_at_most_once:
+            self._keep_silent_server(context, progress, attempt.slot.server)
         dispatcher.time_line.record(
             'broken',
             context.request_id,
@@ -222,6 +229,23 @@
             ),
         )
 
+    def _keep_silent_server(
+        self,
+        context: RequestContext,
+        progress: _Progress,
+        server: str,
+    ) -> None:
+        """Allow another attempt at a silent engine that nobody replaces."""
+        dispatcher = self._dispatcher
+        is_replaced = dispatcher.has_server(context, progress.tried_servers)
+        if not is_replaced:
+            progress.tried_servers.discard(server)
+        dispatcher.metrics.count(
+            'silence_decisions',
+            decision='leaves' if is_replaced else 'stays',
+            reason='server_found' if is_replaced else 'no_server',
+        )
+
 
 async def _first_with_token(primary: Attempt, hedge: Attempt) -> Attempt:
     try:
--- a/src/burdockledge/fakes/_engines.py
+++ b/src/burdockledge/fakes/_engines.py
@@ -115,11 +115,12 @@
         if call.is_at_most_once:
             # At-most-once generations are counted by prompt prefix.
             self._executions[generation.prefix] += 1
+        idle_seconds = _idle_seconds(call)
         digest = prompt_digest(call.body)
         splitter = SseSplitter(call.request_id)
         try:
             while True:
-                index = await self._next_token(generation, url)
+                index = await self._next_token(generation, url, idle_seconds)
                 if index is None:
                     break
                 response_id = (
@@ -142,14 +143,14 @@
         is_complete = generation.next_index >= generation.end_index
         yield StreamEnd(EndKind.done if is_complete else EndKind.interrupted)
 
-    async def _next_token(self, generation: Generation, url: str) -> int | None:
-        timeout_seconds = (
-            _IDLE_TIMEOUT_SECONDS if generation.next_index else None
-        )
+    async def _next_token(
+        self, generation: Generation, url: str, idle_seconds: float
+    ) -> int | None:
+        timeout_seconds = idle_seconds if generation.next_index else None
         async with asyncio.timeout(timeout_seconds):
             index = await generation.tokens.get()
         if not self._network.is_open(url, self._process):
-            await asyncio.sleep(_IDLE_TIMEOUT_SECONDS)
+            await asyncio.sleep(idle_seconds)
             raise TimeoutError
         return index
 
@@ -162,6 +163,12 @@
     return f'data: {json.dumps(chunk, separators=_SEPARATORS)}\n\n'.encode()
 
 
+def _idle_seconds(call: EngineCall) -> float:
+    if not call.is_at_most_once or call.remaining_seconds is None:
+        return _IDLE_TIMEOUT_SECONDS
+    return call.remaining_seconds
+
+
 def _make_generation(call: EngineCall) -> Generation:
     text = ''.join(str(message['content']) for message in call.body['messages'])
     output_tokens = int(call.body['metadata']['tokens'])
