Measure how late the event loop is, and whether own work was why

Change: LoopWatch compares a periodic timer of 0.1 s with the clock, and the delay with the processor time that the process used in it. host and serve export loop_delay_seconds by cause (own_work, machine) and write a line, at most one a second.

--- a/src/burdockledge/host_process.py
+++ b/src/burdockledge/host_process.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 from burdockledge.host import RelayHost
 from burdockledge.http_client import READ_BYTES, BoundedConnector
-from burdockledge.kernel import ExitGuard, on_stop_signal
+from burdockledge.kernel import ExitGuard, LoopWatch, on_stop_signal
 from burdockledge.settings_watcher import SettingsWatcher
 from burdockledge.telemetry import make_logger
 
@@ -44,6 +45,9 @@
             settings_path, settings_modified_ns, host.apply_settings
         )
         host.kernel.register(watcher)
+        host.kernel.register(
+            LoopWatch(host.metrics, host.clock, time.process_time)
+        )
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGHUP, watcher.reload_requested.set
         )
--- a/src/burdockledge/serving.py
+++ b/src/burdockledge/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from random import SystemRandom
 from typing import TYPE_CHECKING, Final
 
@@ -14,7 +15,7 @@
 )
 from burdockledge.clock import SystemClock
 from burdockledge.gateway import Gateway
-from burdockledge.kernel import on_stop_signal
+from burdockledge.kernel import LoopWatch, on_stop_signal
 from burdockledge.membership import UdpSocket
 from burdockledge.peers import LinkConfig, PeerKeys, TcpPeerBus, TlsContexts
 from burdockledge.platform_api import HttpHostListClient, HttpLogClient
@@ -80,6 +81,9 @@
         host = EntryHost(settings, dependencies)
         bus.set_address_lookup(host.components.membership.peer_address_of)
         host.kernel.register(Gateway(host.components, tls.caller_server))
+        host.kernel.register(
+            LoopWatch(host.components.metrics, clock, time.process_time)
+        )
         await _run(host, peer_keys, tls)
 
 
