--- a/src/burdockledge/relay/_move_targets.py
+++ b/src/burdockledge/relay/_move_targets.py
@@ -32,6 +32,10 @@
     able_ids: frozenset[str]
     left_out: Counter[Obstacle]
 
+    def is_over(self, now: float) -> bool:
+        """Return whether the result is too old to be used."""
+        return now - self.searched_at >= _SEARCH_VALID_SECONDS
+
 
 class MoveTargets:
     """
@@ -62,12 +66,9 @@
         leaves_out_full = self._is_sound(silent, now)
         key = (silent.service, leaves_out_full)
         search = self._searches.get(key)
-        if search is None or now - search.searched_at >= _SEARCH_VALID_SECONDS:
-            able = self.narrow(
-                self._gate.select(silent.service, (), now), silent, now
-            )
-            able_ids = frozenset(one.instance_id for one in able.instances)
-            search = _Search(now, able_ids, able.left_out)
+        if search is None or search.is_over(now):
+            search = self._search(silent, now)
+            self._drop_old_searches(now)
             self._searches[key] = search
         if not search.able_ids.issubset(tried_ids):
             return None
@@ -113,6 +114,18 @@
             Obstacle.full, lambda one: self._is_full(one, now)
         )
 
+    def _search(self, silent: ServerInstance, now: float) -> _Search:
+        able = self.narrow(
+            self._gate.select(silent.service, (), now), silent, now
+        )
+        able_ids = frozenset(one.instance_id for one in able.instances)
+        return _Search(now, able_ids, able.left_out)
+
+    def _drop_old_searches(self, now: float) -> None:
+        for key, search in tuple(self._searches.items()):
+            if search.is_over(now):
+                self._searches.pop(key)
+
     def _is_sound(self, instance: ServerInstance, now: float) -> bool:
         return self._gate.registry.is_ready(
             instance, now
