Place every send of a call in the placer

Change: Placer.place_next uses a reserved placement, takes and gives back the retry, and tries the server that a call left. No change of behaviour.

--- a/src/burdockledge/relay/_forwarder.py
+++ b/src/burdockledge/relay/_forwarder.py
@@ -22,7 +22,7 @@
 )
 from burdockledge.relay._responder import BAD_GATEWAY, CUT, UNAVAILABLE
 from burdockledge.relay._retry_rules import RetryRules
-from burdockledge.relay._routing_state import Placement, SendOutcome
+from burdockledge.relay._routing_state import SendOutcome
 from burdockledge.relay._silence_watch import SilenceWatch
 from burdockledge.relay._stream_relay import StreamRelay
 from burdockledge.relay._usage_meter import NOT_RUN_STATUSES, UsageMeter
@@ -38,7 +38,7 @@
     from burdockledge.relay._planned_stop import PlannedStop
     from burdockledge.relay._ports import ServerClient, ServerResponse
     from burdockledge.relay._responder import Responder
-    from burdockledge.relay._routing_state import RoutingState
+    from burdockledge.relay._routing_state import Placement, RoutingState
     from burdockledge.relay._served_call import ServedCall
     from burdockledge.relay._silence_watch import SilenceListener
     from burdockledge.telemetry import Metrics
@@ -87,8 +87,10 @@
         self._state = routing_state
         self._client = client
         self._planned_stop = planned_stop
-        self._placer = Placer(routing_state, planned_stop, clock)
         self._retry_rules = RetryRules(routing_state)
+        self._placer = Placer(
+            routing_state, planned_stop, self._retry_rules, clock
+        )
         self._mover = CallMover(routing_state, self._retry_rules, metrics)
         self._memory = answer_memory
         self.usage = UsageMeter()
@@ -129,7 +131,7 @@
     async def _send_until_answered(self, served: ServedCall) -> tuple[int, str]:
         refusal = Refusal('no server is known')
         while True:
-            placement = await self._place_next(served)
+            placement = await self._placer.place_next(served)
             if placement is None:
                 break
             if isinstance(placement, Refusal):
@@ -143,54 +145,6 @@
             refusal = Refusal(result)
         return await self.give_up(served, refusal)
 
-    async def _place_next(
-        self, served: ServedCall
-    ) -> Placement | Refusal | None:
-        """
-        Place the next send of a call, if there may be one.
-
-        :return: None if the call may not be sent, or no server is left to try.
-        """
-        if served.next_placement is not None:
-            placement = served.next_placement
-            served.next_placement = None
-            return placement
-        if not served.sends:
-            return await self._placer.place(served)
-        if not self._take_retry(served):
-            return None
-        placed: Placement | Refusal | None = None
-        try:
-            placed = await self._place_again(served)
-        finally:
-            if not isinstance(placed, Placement):
-                self._retry_rules.give_back(served)
-        return placed
-
-    async def _place_again(
-        self, served: ServedCall
-    ) -> Placement | Refusal | None:
-        placed = await self._placer.place(served)
-        if isinstance(placed, Placement) or not served.left_instance_ids:
-            return placed
-        # The servers that the call was moved to did not take it. The one that
-        # it left was silent, but may go on by now.
-        served.tried_instance_ids -= served.left_instance_ids
-        served.left_instance_ids.clear()
-        return await self._placer.place(served)
-
-    def _take_retry(self, served: ServedCall) -> bool:
-        obstacle = self._retry_rules.take_retry(served)
-        if obstacle is None:
-            return True
-        _log.info(
-            'Not sent again.',
-            request=served.call.request_id,
-            why=obstacle.value,
-            attempts=served.route.max_attempts,
-        )
-        return False
-
     async def _send_once(
         self, served: ServedCall, placement: Placement
     ) -> tuple[int, str] | str:
--- a/src/burdockledge/relay/_placer.py
+++ b/src/burdockledge/relay/_placer.py
@@ -9,13 +9,18 @@
 from burdockledge.admission import LoadRefusal
 from burdockledge.quarantine import Verdict
 from burdockledge.relay._planned_stop import STOPPING
+from burdockledge.relay._routing_state import Placement
+from burdockledge.telemetry import make_logger
 
 if TYPE_CHECKING:
     from burdockledge.clock import Clock
     from burdockledge.relay._planned_stop import PlannedStop
-    from burdockledge.relay._routing_state import Placement, RoutingState
+    from burdockledge.relay._retry_rules import RetryRules
+    from burdockledge.relay._routing_state import RoutingState
     from burdockledge.relay._served_call import ServedCall
 
+_log = make_logger('relay')
+
 # A call waits this long for another one with a suspected part to begin, or for
 # a server that is at its limit or paused, as a multiple of its route's latency
 # target.
@@ -59,14 +64,64 @@
         self,
         routing_state: RoutingState,
         planned_stop: PlannedStop,
+        retry_rules: RetryRules,
         clock: Clock,
     ) -> None:
         """Create a placer that asks a routing state."""
         self._state = routing_state
+        self._retry_rules = retry_rules
         self._planned_stop = planned_stop
         self._clock = clock
 
-    async def place(self, served: ServedCall) -> Placement | Refusal | None:
+    async def place_next(
+        self, served: ServedCall
+    ) -> Placement | Refusal | None:
+        """
+        Place the next send of a call, if there may be one.
+
+        :return: None if the call may not be sent, or no server is left to try.
+        """
+        if served.next_placement is not None:
+            placement = served.next_placement
+            served.next_placement = None
+            return placement
+        if not served.sends:
+            return await self._place(served)
+        if not self._take_retry(served):
+            return None
+        placed: Placement | Refusal | None = None
+        try:
+            placed = await self._place_again(served)
+        finally:
+            if not isinstance(placed, Placement):
+                self._retry_rules.give_back(served)
+        return placed
+
+    async def _place_again(
+        self, served: ServedCall
+    ) -> Placement | Refusal | None:
+        placed = await self._place(served)
+        if isinstance(placed, Placement) or not served.left_instance_ids:
+            return placed
+        # The servers that the call was moved to did not take it. The one that
+        # it left was silent, but may go on by now.
+        served.tried_instance_ids -= served.left_instance_ids
+        served.left_instance_ids.clear()
+        return await self._place(served)
+
+    def _take_retry(self, served: ServedCall) -> bool:
+        obstacle = self._retry_rules.take_retry(served)
+        if obstacle is None:
+            return True
+        _log.info(
+            'Not sent again.',
+            request=served.call.request_id,
+            why=obstacle.value,
+            attempts=served.route.max_attempts,
+        )
+        return False
+
+    async def _place(self, served: ServedCall) -> Placement | Refusal | None:
         """
         Place a call, once its prompt and the limits of servers allow it.
 
