Test planned stops while a server is silent

Cause: the tests of silent servers did not cover a stop of the host.

Change: two cases, a stop after and before the silent stream goes on.

--- a/tests/relay/test_silent_servers.py
+++ b/tests/relay/test_silent_servers.py
@@ -174,6 +174,24 @@
     assert run.routing_state.results == [CallResult.unreachable]
 
 
+@pytest.mark.parametrize(
+    ('stops_after', 'body', 'end'),
+    [(6.0, WHOLE, 'whole'), (3.0, events(1), 'broken')],
+)
+def test_a_planned_stop_waits_for_a_silent_server(
+    stops_after: float, body: bytes, end: str
+) -> None:
+    """A stop cuts a silent stream off at its own end, and not before."""
+    run = serve(
+        call('/resumed/x'),
+        replace(SILENT),
+        routing_state=PatientRoutingState(server_count=1),
+        stop=(stops_after, 0.0),
+    )
+    assert (run.caller.body, run.caller.end) == (body, end)
+    assert run.seconds == pytest.approx(min(5.0, stops_after))
+
+
 def test_a_server_that_goes_on_has_its_standing_back() -> None:
     """A silence that ends by itself is not counted against the server."""
     state = GrowingRoutingState(server_count=1, joins_at=60.0)
