Show hosts that prompts of many parts take over their memory

With the same tokens in three parts (TROUBLE=0) they hold 50 MiB and answer 4,956 of 4,956 calls. Conclusion: each host keeps all parts of all calls of all hosts, and charges nothing for them.

--- a/review/standins_3/platform.py
+++ b/review/standins_3/platform.py
@@ -33,7 +33,7 @@
                 continue
             self.ends[host.name] += 1
             self._record.note(
-                f'{host.name} holds {megabytes:.0f} MB of {self._memory_mb} MB: '
+                f'{host.name} holds {megabytes:.0f} MiB of {self._memory_mb} MiB: '
                 f'it is killed, for the {self.ends[host.name]}. time'
             )
             await host.end()
@@ -43,9 +43,13 @@
 
 
 def resident_megabytes(process_id: int) -> float:
-    """Return the resident set of a process, 0 without one."""
+    """
+    Return the anonymous memory of a process in MiB, 0 without one.
+
+    Pages of files are left out, as other processes may share them.
+    """
     with contextlib.suppress(OSError):
         for line in Path(f'/proc/{process_id}/status').read_text().split('\n'):
-            if line.startswith('VmRSS'):
+            if line.startswith('RssAnon'):
                 return int(line.split()[1]) / 1024
     return 0.0
--- a/review/standins_3/site.py
+++ b/review/standins_3/site.py
@@ -11,7 +11,8 @@
 import tempfile
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+# The scripts start at the root of the repository.
+ROOT = Path.cwd()
 
 _SETTINGS = '''
 node_name = "{name}"
